--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,62 @@
+//! Monotonic time as the reducer sees it.
+//!
+//! The reducer never reads a clock: each event carries the moment at which it happened, counted
+//! from an arbitrary start of the process.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A moment on the monotonic clock of one process.
+///
+/// ```
+/// use dotterelhoist_core::clock::Instant;
+/// use std::time::Duration;
+///
+/// let start = Instant::from_millis(10);
+/// assert_eq!(start + Duration::from_millis(5), Instant::from_millis(15));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(Duration);
+
+impl Instant {
+    /// The moment `millis` milliseconds after the start of the process.
+    pub const fn from_millis(millis: u64) -> Instant {
+        Instant(Duration::from_millis(millis))
+    }
+
+    /// The moment `elapsed` after the start of the process.
+    pub const fn after(elapsed: Duration) -> Instant {
+        Instant(elapsed)
+    }
+
+    /// Milliseconds since the start of the process.
+    pub fn as_millis(self) -> u64 {
+        self.0.as_millis() as u64
+    }
+
+    /// Time that has passed since `earlier`, zero if `earlier` lies ahead.
+    pub fn since(self, earlier: Instant) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The moment `span` before this one, or the start of the process if that is later.
+    pub fn before(self, span: Duration) -> Instant {
+        Instant(self.0.saturating_sub(span))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, span: Duration) -> Instant {
+        Instant(self.0 + span)
+    }
+}
+
+impl Sub<Instant> for Instant {
+    type Output = Duration;
+
+    fn sub(self, earlier: Instant) -> Duration {
+        self.since(earlier)
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/configuration.rs
@@ -0,0 +1,154 @@
+//! Versioned objects of the operators.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::command::{Change, Outcome, Verdict};
+use crate::object::Kind;
+use crate::Name;
+
+/// Operation ids whose outcomes are kept for resent changes.
+const OPERATIONS_KEPT: usize = 20_000;
+
+/// Key of an object.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    /// Kind of the object.
+    pub kind: Kind,
+    /// Name, unique within its kind.
+    pub name: Name,
+}
+
+/// An object as it stands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Object {
+    /// Kind of the object.
+    pub kind: Kind,
+    /// Name, unique within its kind.
+    pub name: Name,
+    /// Grows by one with each change and never falls, also over deletion and return.
+    pub version: u64,
+    /// Body as applied; none if the object is deleted.
+    pub body: Option<String>,
+}
+
+/// A change that was decided, kept for operators who resend it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Operation {
+    id: String,
+    outcome: Outcome,
+}
+
+/// All objects, and the recent changes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Stored", into = "Stored")]
+pub struct Configuration {
+    revision: u64,
+    objects: BTreeMap<Key, Object>,
+    operations: BTreeMap<String, Outcome>,
+    order: VecDeque<String>,
+}
+
+/// Form of the configuration in a snapshot.
+#[derive(Clone, Serialize, Deserialize)]
+struct Stored {
+    revision: u64,
+    objects: Vec<Object>,
+    operations: Vec<Operation>,
+}
+
+impl From<Stored> for Configuration {
+    fn from(stored: Stored) -> Configuration {
+        let key = |object: &Object| Key { kind: object.kind, name: object.name.clone() };
+        let order = stored.operations.iter().map(|operation| operation.id.clone()).collect();
+        Configuration {
+            revision: stored.revision,
+            objects: stored.objects.into_iter().map(|object| (key(&object), object)).collect(),
+            operations: stored.operations.into_iter().map(|o| (o.id, o.outcome)).collect(),
+            order,
+        }
+    }
+}
+
+impl From<Configuration> for Stored {
+    fn from(configuration: Configuration) -> Stored {
+        let operations = &configuration.operations;
+        let operation = |id: &String| Operation {
+            id: id.clone(),
+            outcome: operations.get(id).cloned().unwrap_or_default(),
+        };
+        Stored {
+            revision: configuration.revision,
+            operations: configuration.order.iter().map(operation).collect(),
+            objects: configuration.objects.into_values().collect(),
+        }
+    }
+}
+
+impl Configuration {
+    /// Number of accepted changes; the version of the whole.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Objects that exist.
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values().filter(|object| object.body.is_some())
+    }
+
+    /// One object, if it exists.
+    pub fn object(&self, kind: Kind, name: &str) -> Option<&Object> {
+        let key = Key { kind, name: name.into() };
+        self.objects.get(&key).filter(|object| object.body.is_some())
+    }
+
+    pub(super) fn apply(&mut self, change: Change) -> Outcome {
+        if let Some(outcome) = self.operations.get(&change.operation) {
+            return outcome.clone();
+        }
+        let operation = change.operation.clone();
+        let outcome = self.decide(change);
+        self.remember(operation, outcome.clone());
+        outcome
+    }
+
+    fn decide(&mut self, change: Change) -> Outcome {
+        let Some(kind) = Kind::from_repr(change.kind) else {
+            return Outcome::of(Verdict::Refused);
+        };
+        let key = Key { kind, name: change.name.as_str().into() };
+        let current = self.objects.get(&key);
+        let version = current.map_or(0, |object| object.version);
+        let exists = current.is_some_and(|object| object.body.is_some());
+        let expected = if exists { version } else { 0 };
+        if change.expected.is_some_and(|wanted| wanted != expected) {
+            let holder = current.and_then(|object| object.body.clone()).unwrap_or_default();
+            let verdict = Verdict::Conflict as i32;
+            let revision = self.revision;
+            let outcome = Outcome { verdict, version: expected, revision, holder, ..Outcome::default() };
+            return outcome;
+        }
+        if change.body.is_none() && !exists {
+            return Outcome::of(Verdict::Missing);
+        }
+        self.revision += 1;
+        let version = version + 1;
+        let name = key.name.clone();
+        self.objects.insert(key, Object { kind, name, version, body: change.body });
+        Outcome { version, revision: self.revision, ..Outcome::of(Verdict::Accepted) }
+    }
+
+    fn remember(&mut self, operation: String, outcome: Outcome) {
+        if operation.is_empty() {
+            return;
+        }
+        self.operations.insert(operation.clone(), outcome);
+        self.order.push_back(operation);
+        if self.order.len() > OPERATIONS_KEPT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.operations.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/object.rs
@@ -0,0 +1,237 @@
+//! Objects that operators create: serving groups, services and workspaces.
+//!
+//! An object is stored as the JSON text that the operator applied, once [`Spec::parse`] has accepted
+//! it, together with a version that grows by one with each change of that object.
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use strum::{Display as StrumDisplay, EnumString, FromRepr};
+
+use crate::selector::{Labels, Selector};
+use crate::Name;
+
+/// Kinds of object.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    StrumDisplay,
+    EnumString,
+    FromRepr,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+#[repr(u32)]
+pub enum Kind {
+    /// A set of VMs that together run replicas of one model.
+    ServingGroup = 1,
+    /// What callers name in their requests.
+    Service = 2,
+    /// A customer with its key, limits and share.
+    Workspace = 3,
+    /// VMs to be emptied.
+    Drain = 4,
+}
+
+/// A serving group: how many replicas of a model to run, on which VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Group {
+    /// Labels of the serving group itself, for the selectors of services.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Model, with its version, that the endpoints load.
+    pub model: Name,
+    /// VMs of one replica; all in one fabric domain.
+    pub members: u32,
+    /// Replicas to run over all availability zones that the selector permits.
+    pub replicas: u32,
+    /// Which VMs may be used.
+    #[serde(default)]
+    pub selector: Selector,
+}
+
+/// A service: where requests for a name go.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Service {
+    /// Labels of the service itself, for the selectors of workspaces.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Serving groups behind a model service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub groups: Option<Selector>,
+    /// Endpoints behind a plain service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoints: Option<Selector>,
+    /// Path prefixes of a plain service whose `POST` calls may be repeated. All other calls but
+    /// `GET` and `HEAD` are non-idempotent.
+    #[serde(default)]
+    pub idempotent: Vec<Name>,
+    /// Longest time a request may take, in milliseconds.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: u64,
+}
+
+/// A workspace: one customer of the deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Workspace {
+    /// Labels of the workspace.
+    #[serde(default)]
+    pub labels: Labels,
+    /// SHA-256 of the bearer token in lower-case hexadecimal.
+    pub key_sha256: Name,
+    /// Services that the workspace may call.
+    #[serde(default)]
+    pub services: Selector,
+    /// Weight of its fair share.
+    #[serde(default = "default_share")]
+    pub share: u32,
+    /// Most urgent priority that its requests may ask for; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u8,
+    /// Requests that may wait in one daemon at once.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// Requests a second over the whole system; 0 for no limit.
+    #[serde(default)]
+    pub rate: u32,
+}
+
+/// A drain: VMs that are to be emptied and kept empty until the drain is deleted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Drain {
+    /// Labels of the drain itself.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Which VMs to empty.
+    pub selector: Selector,
+}
+
+fn default_deadline() -> u64 {
+    30_000
+}
+
+fn default_share() -> u32 {
+    1
+}
+
+fn default_queue() -> u32 {
+    256
+}
+
+/// An object by its kind.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Spec {
+    /// A serving group.
+    Group(Group),
+    /// A service.
+    Service(Service),
+    /// A workspace.
+    Workspace(Workspace),
+    /// A drain.
+    Drain(Drain),
+}
+
+/// Why a body is not an object of its kind.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// not a {kind}: {detail}
+    Shape {
+        /// Kind that was asked for.
+        kind: Kind,
+        /// What the parser found, with line and column.
+        detail: String,
+    },
+    /// {field}: {detail}
+    Field {
+        /// Field at fault.
+        field: &'static str,
+        /// What would be right.
+        detail: &'static str,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Whether `name` can name an object: up to 63 letters, digits, `-`, `_` and `.`.
+pub fn is_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    !name.is_empty() && name.len() <= 63 && name.chars().all(allowed)
+}
+
+impl Spec {
+    /// Parses and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns all that is wrong: one [`Error::Shape`], or each [`Error::Field`] at fault.
+    ///
+    /// ```
+    /// use dotterelhoist_core::object::{Kind, Spec};
+    ///
+    /// let body = r#"{"model": "m-1", "members": 0, "replicas": 1}"#;
+    /// let errors = Spec::parse(Kind::ServingGroup, body).unwrap_err();
+    /// assert_eq!(errors[0].to_string(), "members: must be from 1 to 64");
+    /// ```
+    pub fn parse(kind: Kind, body: &str) -> Result<Spec, Vec<Error>> {
+        let spec = match kind {
+            Kind::ServingGroup => serde_json::from_str(body).map(Spec::Group),
+            Kind::Service => serde_json::from_str(body).map(Spec::Service),
+            Kind::Workspace => serde_json::from_str(body).map(Spec::Workspace),
+            Kind::Drain => serde_json::from_str(body).map(Spec::Drain),
+        };
+        let spec =
+            spec.map_err(|error| vec![Error::Shape { kind, detail: error.to_string() }])?;
+        let errors = spec.check();
+        if errors.is_empty() {
+            return Ok(spec);
+        }
+        Err(errors)
+    }
+
+    fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        let mut require = |holds: bool, field, detail| {
+            if !holds {
+                errors.push(Error::Field { field, detail });
+            }
+        };
+        match self {
+            Spec::Group(group) => {
+                require(!group.model.is_empty(), "model", "must not be empty");
+                require((1..=64).contains(&group.members), "members", "must be from 1 to 64");
+                require(group.replicas <= 10_000, "replicas", "must be at most 10000");
+            }
+            Spec::Service(service) => {
+                let one = service.groups.is_some() != service.endpoints.is_some();
+                require(one, "groups", "give either `groups` or `endpoints`");
+                let deadline = (1..=3_600_000).contains(&service.deadline_ms);
+                require(deadline, "deadline-ms", "must be from 1 to 3600000");
+            }
+            Spec::Workspace(workspace) => {
+                let hash = &workspace.key_sha256;
+                let hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+                let holds = hash.len() == 64 && hash.chars().all(hex);
+                require(holds, "key-sha256", "must be 64 lower-case hexadecimal digits");
+                require((1..=1000).contains(&workspace.share), "share", "must be from 1 to 1000");
+                require(workspace.priority <= 9, "priority", "must be from 0 to 9");
+                require(workspace.queue <= 100_000, "queue", "must be at most 100000");
+            }
+            Spec::Drain(drain) => {
+                let everything = drain.selector == Selector::default();
+                require(!everything, "selector", "must not be empty: it would drain every VM");
+            }
+        }
+        errors
+    }
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,396 @@
+//! Choice of the group instance or plain endpoint that runs a request.
+//!
+//! A route is known through one or more *views*, one for each host that folds it. Only views that
+//! are younger than [`MEMBER_TTL`] count, and of these only the ones of the highest generation. The
+//! route takes work if all of them agree that it does: bad news from one host is enough, and good
+//! news from a host that has lost touch grows old by itself.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::clock::Instant;
+use crate::message::Entry;
+use crate::policy::MEMBER_TTL;
+use crate::retry::Health;
+use crate::selector::{Labels, Selector};
+use crate::Name;
+
+/// Prefixes remembered in one half of the memory.
+const PREFIXES_KEPT: usize = 50_000;
+/// Age after which a view is dropped.
+const VIEW_KEPT: Duration = Duration::from_secs(600);
+
+/// What one host says of a route.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The entry as folded by its origin.
+    pub entry: Entry,
+    /// A moment after which the announcements behind it were certainly made.
+    pub as_of: Instant,
+}
+
+/// A group instance or plain endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Route {
+    /// Views by origin.
+    pub views: SmallVec<[View; 2]>,
+    /// Requests of this daemon that run there.
+    pub running: u32,
+    /// Health as this daemon has seen it.
+    pub health: Health,
+    labels: Labels,
+    marks: VecDeque<Mark>,
+}
+
+/// A change of this daemon's own load on a route.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    at: Instant,
+    change: i32,
+}
+
+/// How a route stands at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Takes new work.
+    Accepting,
+    /// Finishes what runs.
+    Draining,
+    /// A member is missing or silent.
+    Broken,
+}
+
+impl Route {
+    fn live(&self, now: Instant) -> impl Iterator<Item = &View> {
+        let young = move |view: &&View| now.since(view.as_of) < MEMBER_TTL;
+        let generation =
+            self.views.iter().filter(young).map(|view| view.entry.generation).max();
+        self.views
+            .iter()
+            .filter(young)
+            .filter(move |view| Some(view.entry.generation) == generation)
+    }
+
+    /// How the route stands at `now`.
+    pub fn standing(&self, now: Instant) -> Standing {
+        let mut live = self.live(now).peekable();
+        if live.peek().is_none() {
+            return Standing::Broken;
+        }
+        let mut standing = Standing::Accepting;
+        for view in live {
+            if !view.entry.whole {
+                return Standing::Broken;
+            }
+            if !view.entry.accepting {
+                standing = Standing::Draining;
+            }
+        }
+        standing
+    }
+
+    /// Generation of the youngest views.
+    pub fn generation(&self, now: Instant) -> u64 {
+        self.live(now).next().map_or(0, |view| view.entry.generation)
+    }
+
+    /// The youngest view.
+    pub fn newest(&self) -> Option<&View> {
+        self.views.iter().max_by_key(|view| view.as_of)
+    }
+
+    /// Requests that run or wait there: the newest report, corrected by what this daemon has sent
+    /// and seen end since then.
+    pub fn load(&self) -> u32 {
+        let Some(newest) = self.newest() else { return self.running };
+        let since = self.marks.iter().filter(|mark| mark.at > newest.as_of);
+        let change: i64 = since.map(|mark| i64::from(mark.change)).sum();
+        let load = (i64::from(newest.entry.load) + change).max(i64::from(self.running));
+        load as u32
+    }
+
+    /// Requests that it can run at once.
+    pub fn slots(&self) -> u32 {
+        self.newest().map_or(0, |view| view.entry.slots)
+    }
+
+    fn mark(&mut self, at: Instant, change: i32) {
+        let horizon = at.before(MEMBER_TTL);
+        while self.marks.front().is_some_and(|mark| mark.at < horizon) {
+            self.marks.pop_front();
+        }
+        self.marks.push_back(Mark { at, change });
+    }
+}
+
+/// What a request asks of a route.
+#[derive(Clone, Debug)]
+pub struct Wish<'a> {
+    /// Hashes of the prompt's prefixes, shortest first.
+    pub prefixes: &'a [u64],
+    /// Routes that have failed this request.
+    pub tried: &'a [Name],
+    /// Number of the request, which spreads requests without a prefix.
+    pub salt: u64,
+}
+
+/// Ways to choose among routes with room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Prefix affinity with bounded load.
+    Affinity,
+    /// Lowest load as reported, without own sends.
+    LeastReported,
+    /// In turn.
+    RoundRobin,
+}
+
+/// Which routes a service may use.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// Instances of these serving groups.
+    Groups(Vec<Name>),
+    /// Plain endpoints with matching labels.
+    Endpoints(Selector),
+}
+
+/// All routes.
+#[derive(Clone, Debug)]
+pub struct Table {
+    zone: Name,
+    bound: f64,
+    choice: Choice,
+    routes: BTreeMap<Name, Route>,
+    prefixes: Prefixes,
+    turn: u64,
+}
+
+impl Table {
+    /// Creates an empty table for a daemon in `zone`. `bound` is the multiple of the mean load up to
+    /// which prefix affinity decides.
+    pub fn new(zone: Name, bound: f64, choice: Choice) -> Table {
+        Table {
+            zone,
+            bound,
+            choice,
+            routes: BTreeMap::new(),
+            prefixes: Prefixes::default(),
+            turn: 0,
+        }
+    }
+
+    /// Routes by name.
+    pub fn routes(&self) -> impl Iterator<Item = (&Name, &Route)> {
+        self.routes.iter()
+    }
+
+    /// One route.
+    pub fn route(&self, name: &str) -> Option<&Route> {
+        self.routes.get(name)
+    }
+
+    /// One route, to note its health.
+    pub fn route_mut(&mut self, name: &str) -> Option<&mut Route> {
+        self.routes.get_mut(name)
+    }
+
+    /// Takes in an entry that holds as of `as_of`; true if its content is new.
+    pub fn hear(&mut self, entry: Entry, as_of: Instant) -> bool {
+        let route = self.routes.entry(entry.name.as_str().into()).or_default();
+        let origin = |view: &&mut View| view.entry.origin == entry.origin;
+        let Some(view) = route.views.iter_mut().find(origin) else {
+            route.labels = labels(&entry);
+            route.views.push(View { entry, as_of });
+            return true;
+        };
+        if entry.version < view.entry.version {
+            return false;
+        }
+        let fresh = entry.version > view.entry.version;
+        if fresh {
+            view.as_of = as_of;
+            route.labels = labels(&entry);
+            view.entry = entry;
+        } else {
+            view.as_of = view.as_of.max(as_of);
+            view.entry.load = entry.load;
+        }
+        fresh
+    }
+
+    /// Takes in the age and load that a beat gave for one view.
+    pub fn refresh(&mut self, name: &str, origin: &str, as_of: Instant, load: u32) {
+        let Some(route) = self.routes.get_mut(name) else { return };
+        let view = route.views.iter_mut().find(|view| view.entry.origin == *origin);
+        let Some(view) = view else { return };
+        if as_of > view.as_of {
+            view.as_of = as_of;
+            view.entry.load = load;
+        }
+    }
+
+    /// Drops views that have been silent for long, and routes without views or requests.
+    pub fn forget_silent(&mut self, now: Instant) {
+        self.routes.retain(|_, route| {
+            route.views.retain(|view| now.since(view.as_of) < VIEW_KEPT);
+            !route.views.is_empty() || route.running > 0
+        });
+    }
+
+    /// Whether any route of the target could take a request, now or once it has room.
+    pub fn serves(&self, target: &Target, now: Instant) -> bool {
+        self.candidates(target).any(|(_, route)| {
+            route.standing(now) == Standing::Accepting && !route.health.is_ejected(now)
+        })
+    }
+
+    /// Requests that the target's routes can run at once.
+    pub fn capacity(&self, target: &Target, now: Instant) -> u32 {
+        self.candidates(target)
+            .filter(|(_, route)| route.standing(now) == Standing::Accepting)
+            .map(|(_, route)| route.slots())
+            .sum()
+    }
+
+    /// Chooses a route with room; none if there is none.
+    pub fn choose(&mut self, target: &Target, wish: &Wish<'_>, now: Instant) -> Option<Name> {
+        self.turn += 1;
+        let usable: SmallVec<[(&Name, &Route); 16]> = self
+            .candidates(target)
+            .filter(|(name, route)| {
+                route.standing(now) == Standing::Accepting
+                    && route.load() < route.slots()
+                    && route.health.admits(now, route.running)
+                    && !wish.tried.contains(name)
+            })
+            .collect();
+        let own = |route: &Route| {
+            route.newest().is_some_and(|view| *view.entry.zone == *self.zone)
+        };
+        let mut near: SmallVec<[(&Name, &Route); 16]> =
+            usable.iter().copied().filter(|(_, route)| own(route)).collect();
+        if near.is_empty() {
+            near = usable;
+        }
+        match self.choice {
+            Choice::Affinity => choose_affine(&near, &self.prefixes, self.bound, wish),
+            Choice::LeastReported => least_reported(&near),
+            Choice::RoundRobin => near.get(self.turn as usize % near.len().max(1)).map(|r| r.0),
+        }
+        .cloned()
+    }
+
+    /// Notes that a request was sent to a route.
+    pub fn sent(&mut self, name: &Name, prefixes: &[u64], now: Instant) {
+        for prefix in prefixes {
+            self.prefixes.insert(*prefix, name.clone());
+        }
+        let Some(route) = self.routes.get_mut(name) else { return };
+        route.running += 1;
+        route.mark(now, 1);
+    }
+
+    /// Notes that a request on a route ended.
+    pub fn ended(&mut self, name: &Name, now: Instant) {
+        let Some(route) = self.routes.get_mut(name) else { return };
+        route.running = route.running.saturating_sub(1);
+        route.mark(now, -1);
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        target: &'a Target,
+    ) -> impl Iterator<Item = (&'a Name, &'a Route)> + 'a {
+        let groups = match target {
+            Target::Groups(groups) => groups.as_slice(),
+            Target::Endpoints(_) => &[],
+        };
+        let instances = groups.iter().flat_map(|group| self.instances(group));
+        let selector = match target {
+            Target::Groups(_) => None,
+            Target::Endpoints(selector) => Some(selector),
+        };
+        let plain = selector.into_iter().flat_map(|selector| {
+            self.routes.iter().filter(|(_, route)| {
+                let plain = route.newest().is_some_and(|view| view.entry.group.is_empty());
+                plain && selector.matches(&route.labels)
+            })
+        });
+        instances.chain(plain)
+    }
+
+    fn instances(&self, group: &Name) -> impl Iterator<Item = (&Name, &Route)> {
+        let first: Name = format!("{group}/").into();
+        let prefix = first.clone();
+        self.routes.range(first..).take_while(move |(name, _)| name.starts_with(&*prefix))
+    }
+}
+
+fn labels(entry: &Entry) -> Labels {
+    let labels = entry.labels.iter();
+    labels.map(|(key, value)| (key.as_str().into(), value.as_str().into())).collect()
+}
+
+fn choose_affine<'a>(
+    routes: &[(&'a Name, &Route)],
+    prefixes: &Prefixes,
+    bound: f64,
+    wish: &Wish<'_>,
+) -> Option<&'a Name> {
+    let total: f64 = routes.iter().map(|(_, route)| f64::from(route.load())).sum();
+    let limit = bound * (total + 1.0) / routes.len().max(1) as f64;
+    let fits = |route: &Route| f64::from(route.load()) < limit;
+    let known = wish.prefixes.iter().rev().find_map(|prefix| prefixes.find(*prefix));
+    if let Some(known) = known {
+        let home = routes.iter().find(|(name, route)| **name == *known && fits(route));
+        if let Some((name, _)) = home {
+            return Some(name);
+        }
+    }
+    let seed = wish.prefixes.first().copied();
+    let Some(seed) = seed else {
+        let by_load = |route: &Route| (route.load(), route.running);
+        return routes
+            .iter()
+            .min_by_key(|(name, route)| (by_load(route), score(name, wish.salt)))
+            .map(|(name, _)| *name);
+    };
+    routes
+        .iter()
+        .filter(|(_, route)| fits(route))
+        .max_by_key(|(name, _)| score(name, seed))
+        .map(|(name, _)| *name)
+}
+
+fn least_reported<'a>(routes: &[(&'a Name, &Route)]) -> Option<&'a Name> {
+    let reported = |route: &Route| route.newest().map_or(0, |view| view.entry.load);
+    routes.iter().min_by_key(|(_, route)| reported(route)).map(|(name, _)| *name)
+}
+
+/// Rendezvous hash of a route for a prefix.
+fn score(name: &Name, seed: u64) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), seed)
+}
+
+/// Where prefixes were last sent; the older half is dropped when the younger one is full.
+#[derive(Clone, Debug, Default)]
+struct Prefixes {
+    young: HashMap<u64, Name>,
+    old: HashMap<u64, Name>,
+}
+
+impl Prefixes {
+    fn insert(&mut self, prefix: u64, route: Name) {
+        self.young.insert(prefix, route);
+        if self.young.len() > PREFIXES_KEPT {
+            self.old = std::mem::take(&mut self.young);
+        }
+    }
+
+    fn find(&self, prefix: u64) -> Option<&Name> {
+        self.young.get(&prefix).or_else(|| self.old.get(&prefix))
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/operating.rs
@@ -0,0 +1,203 @@
+//! Operators' questions and changes.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Instant;
+use crate::control::command::{Body as CommandBody, Change, Explain};
+use crate::effect::{Answer, Effect, Effects};
+use crate::event::Operation;
+use crate::object::{is_name, Kind, Spec};
+use crate::status::{Count, Daemon, Log, Route, Status, Vm};
+use crate::Name;
+
+use super::logs::Purpose;
+use super::{Duty, State};
+
+/// Time for which a change is sent again before the operator is told that no leader was reached.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(8);
+
+impl State {
+    pub(super) fn operate(
+        &mut self,
+        now: Instant,
+        ticket: u64,
+        operation: Operation,
+        effects: &mut Effects,
+    ) {
+        match operation {
+            Operation::Change(change) => self.change(now, ticket, change, effects),
+            Operation::Get { kind, name } => {
+                let answer = self.objects(kind, name.as_ref());
+                effects.push(Effect::Answer { ticket, answer });
+            }
+            Operation::Explain(request) => self.explain(now, ticket, &request, effects),
+            Operation::Status => {
+                let answer = Answer::Status(Box::new(self.status(now)));
+                effects.push(Effect::Answer { ticket, answer });
+            }
+        }
+    }
+
+    fn change(&mut self, now: Instant, ticket: u64, change: Change, effects: &mut Effects) {
+        let findings = self.check_change(&change);
+        if !findings.is_empty() {
+            let answer = Answer::Invalid(findings);
+            effects.push(Effect::Answer { ticket, answer });
+            return;
+        }
+        let Some(log) = self.log_with(&Duty::Configuration) else { return };
+        let log = log.name.clone();
+        let purpose = Purpose::Operator(ticket);
+        let command = CommandBody::Change(change);
+        self.propose(now, log, command, purpose, OPERATOR_PATIENCE, effects);
+    }
+
+    fn check_change(&self, change: &Change) -> Vec<String> {
+        let mut findings = Vec::new();
+        if !is_name(&change.name) {
+            findings.push("name: use up to 63 letters, digits, `-`, `_` and `.`".to_owned());
+        }
+        let Some(kind) = Kind::from_repr(change.kind) else {
+            findings.push("kind: there is no such kind".to_owned());
+            return findings;
+        };
+        let Some(body) = &change.body else { return findings };
+        match Spec::parse(kind, body) {
+            Err(errors) => findings.extend(errors.iter().map(ToString::to_string)),
+            Ok(Spec::Workspace(workspace)) => {
+                let holder = self.view.workspace_of_key(&workspace.key_sha256);
+                if holder.is_some_and(|holder| **holder != *change.name) {
+                    findings.push("key-sha256: is the key of another workspace".to_owned());
+                }
+            }
+            Ok(_) => {}
+        }
+        findings
+    }
+
+    fn objects(&self, kind: Option<Kind>, name: Option<&Name>) -> Answer {
+        let hosted = self.logs.values().find(|hosted| hosted.duty == Duty::Configuration);
+        let followed = self.followed.as_ref().map(|followed| &followed.machine);
+        let Some(machine) = hosted.map(|hosted| &hosted.machine).or(followed) else {
+            return Answer::Unreachable;
+        };
+        let objects = machine.configuration.objects().filter(|object| {
+            kind.is_none_or(|kind| kind == object.kind)
+                && name.is_none_or(|name| *name == object.name)
+        });
+        Answer::Objects {
+            revision: machine.configuration.revision(),
+            objects: objects.cloned().collect(),
+        }
+    }
+
+    fn explain(&mut self, now: Instant, ticket: u64, request: &Name, effects: &mut Effects) {
+        let daemon = request.rsplitn(3, '.').nth(2).unwrap_or_default();
+        let Some(log) = self.claim_log(xxh3_64(daemon.as_bytes())) else {
+            effects.push(Effect::Answer { ticket, answer: Answer::Unreachable });
+            return;
+        };
+        let command = CommandBody::Explain(Explain { request: request.to_string() });
+        let purpose = Purpose::Operator(ticket);
+        self.propose(now, log, command, purpose, OPERATOR_PATIENCE, effects);
+    }
+
+    /// Claim log that is responsible for a hash.
+    pub(super) fn claim_log(&self, hash: u64) -> Option<Name> {
+        let claims = self.setup.logs.iter().filter(|log| log.duty == Duty::Claims);
+        let claims: Vec<&Name> = claims.map(|log| &log.name).collect();
+        let shard = hash.checked_rem(claims.len() as u64)?;
+        Some(claims[shard as usize].clone())
+    }
+
+    /// How the system stands, as this daemon sees it.
+    pub fn status(&self, now: Instant) -> Status {
+        Status {
+            daemon: self.setup.daemon.clone(),
+            zone: self.setup.zone.clone(),
+            ready: self.ready,
+            stopping: self.stopping,
+            stale: self.is_stale(now),
+            revision: self.view.revision,
+            running: self.requests.len(),
+            waiting: self.queues.values().map(|queue| queue.len()).sum(),
+            daemons: self.daemons(now),
+            logs: self.log_states(),
+            routes: self.route_states(now),
+            vms: self.vm_states(now),
+            zones: self.summaries.values().cloned().collect(),
+            counters: self
+                .tally
+                .iter()
+                .map(|(counter, value)| Count { name: counter.name(), value })
+                .collect(),
+        }
+    }
+
+    fn daemons(&self, now: Instant) -> Vec<Daemon> {
+        let mut names: Vec<Name> =
+            self.setup.peers.iter().map(|peer| peer.daemon.clone()).collect();
+        names.extend(self.links.keys().filter(|name| !names.contains(name)).cloned().collect::<Vec<_>>());
+        let daemon = |name: Name| {
+            let link = self.links.get(&name);
+            let configured = self.zone_of(&name).cloned();
+            let said = link.map(|link| Name::from(link.hello.zone.as_str()));
+            Daemon {
+                zone: configured.or(said).unwrap_or_else(|| "".into()),
+                linked: link.is_some_and(|link| link.is_live(now)),
+                ready: link.is_some_and(|link| link.ready),
+                revision: link.map_or(0, |link| link.revision),
+                age_ms: link.map_or(u64::MAX, |link| now.since(link.alive).as_millis() as u64),
+                name,
+            }
+        };
+        names.into_iter().map(daemon).collect()
+    }
+
+    fn log_states(&self) -> Vec<Log> {
+        let state = |(name, hosted): (&Name, &super::logs::Hosted)| Log {
+            name: name.clone(),
+            role: format!("{:?}", hosted.replica.role()).to_lowercase(),
+            term: hosted.replica.term(),
+            leader: hosted.replica.leader().cloned().unwrap_or_else(|| "".into()),
+            applied: hosted.replica.applied(),
+            voters: hosted
+                .replica
+                .voters()
+                .iter()
+                .map(|voter| format!("{}:{}", voter.replica, voter.weight))
+                .collect(),
+        };
+        self.logs.iter().map(state).collect()
+    }
+
+    fn route_states(&self, now: Instant) -> Vec<Route> {
+        let state = |(name, route): (&Name, &crate::route::Route)| {
+            let newest = route.newest();
+            Route {
+                name: name.clone(),
+                zone: newest.map_or("", |view| &view.entry.zone).into(),
+                standing: format!("{:?}", route.standing(now)).to_lowercase(),
+                generation: newest.map_or(0, |view| view.entry.generation),
+                load: route.load(),
+                slots: route.slots(),
+                age_ms: newest.map_or(0, |view| now.since(view.as_of).as_millis() as u64),
+                ejected: route.health.is_ejected(now),
+            }
+        };
+        self.routes.routes().map(state).collect()
+    }
+
+    fn vm_states(&self, now: Instant) -> Vec<Vm> {
+        let Some((manager, scene)) = self.leading_manager(now) else { return Vec::new() };
+        let vm = |(name, status): (Name, crate::placement::Status)| Vm {
+            zone: self.setup.zone.clone(),
+            status: status.to_string(),
+            group: scene.placements.holder(&name).cloned().unwrap_or_else(|| "".into()),
+            name,
+        };
+        manager.statuses(&scene).into_iter().map(vm).collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/journal.rs
@@ -0,0 +1,64 @@
+//! Log lines.
+
+use std::sync::OnceLock;
+
+use dotterelhoist_core::journal::{Event, Level};
+use dotterelhoist_settings as settings;
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::Record;
+use serde::Serialize;
+
+static FORMAT: OnceLock<settings::Format> = OnceLock::new();
+
+/// An event with its number, for JSON lines.
+#[derive(Serialize)]
+struct Line<'a> {
+    code: u16,
+    message: String,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+/// Starts writing to standard error.
+pub(crate) fn open(logging: &settings::Logging) -> Result<LoggerHandle, FlexiLoggerError> {
+    FORMAT.get_or_init(|| logging.format);
+    let spec = format!("{0}, async_h1=off, polling=off, async_io=off", logging.level);
+    Logger::try_with_str(spec)?.log_to_stderr().format(write_line).start()
+}
+
+/// Writes an event.
+pub(crate) fn write(event: &Event) {
+    let level = match event.level() {
+        Level::Error => log::Level::Error,
+        Level::Warn => log::Level::Warn,
+        Level::Info => log::Level::Info,
+        Level::Debug => log::Level::Debug,
+    };
+    if !log::log_enabled!(level) {
+        return;
+    }
+    if FORMAT.get() == Some(&settings::Format::Json) {
+        let line = Line { code: event.code(), message: event.to_string(), event };
+        log::log!(level, "{}", serde_json::to_string(&line).unwrap_or_default());
+        return;
+    }
+    log::log!(level, "E{:03} {event}", event.code());
+}
+
+fn write_line(
+    target: &mut dyn std::io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> std::io::Result<()> {
+    let time = now.format_rfc3339();
+    let level = record.level();
+    if FORMAT.get() != Some(&settings::Format::Json) {
+        return write!(target, "{time} {level:5} {}", record.args());
+    }
+    let text = record.args().to_string();
+    if text.starts_with('{') {
+        return write!(target, r#"{{"time":"{time}","level":"{level}",{}"#, &text[1..]);
+    }
+    let message = serde_json::to_string(&text).unwrap_or_default();
+    write!(target, r#"{{"time":"{time}","level":"{level}","message":{message}}}"#)
+}
--- /dev/null
+++ b/crates/operator/src/command.rs
@@ -0,0 +1,375 @@
+//! Arguments, and what each subcommand does.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use dotterelhoist_core::object::Kind;
+use dotterelhoist_core::selector::Selector;
+use http_types::Method;
+use serde_json::{json, Value};
+use smol::Timer;
+
+use crate::client::{describe, Client, Reply};
+use crate::manifest::{self, Entry};
+use crate::{table, Failure};
+
+/// Time for which `--wait` waits.
+const WAIT_MAX: Duration = Duration::from_secs(16);
+/// Time between two looks.
+const WAIT_STEP: Duration = Duration::from_millis(100);
+
+pub(crate) fn command() -> Command {
+    let server = Arg::new("server")
+        .long("server")
+        .value_name("IP:PORT")
+        .help("Operators' address of a daemon; may be given several times")
+        .global(true)
+        .action(ArgAction::Append)
+        .value_parser(clap::value_parser!(SocketAddr));
+    let token = Arg::new("token-file")
+        .long("token-file")
+        .value_name("FILE")
+        .help("File with the operator token")
+        .global(true)
+        .value_parser(clap::value_parser!(PathBuf));
+    Command::new("dotterelhoist")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates a dotterelhoist deployment")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(server)
+        .arg(token)
+        .subcommand(
+            Command::new("check")
+                .about("Checks a settings file and reports everything that is wrong with it")
+                .arg(path("file", "Settings file of a daemon")),
+        )
+        .subcommand(
+            Command::new("apply")
+                .about("Creates or replaces the objects that a file describes")
+                .arg(path("file", "JSON with comments: one object or a list of them"))
+                .arg(wait())
+                .arg(operation()),
+        )
+        .subcommand(
+            Command::new("get")
+                .about("Shows objects")
+                .arg(kind().required(false))
+                .arg(Arg::new("name").value_name("NAME").help("Name of the object"))
+                .arg(json_flag()),
+        )
+        .subcommand(
+            Command::new("delete")
+                .about("Deletes an object")
+                .arg(kind())
+                .arg(Arg::new("name").value_name("NAME").required(true).help("Name of the object"))
+                .arg(
+                    Arg::new("expected")
+                        .long("expected")
+                        .value_name("VERSION")
+                        .help("Only delete this version")
+                        .value_parser(clap::value_parser!(u64)),
+                )
+                .arg(wait())
+                .arg(operation()),
+        )
+        .subcommand(
+            Command::new("drain")
+                .about("Empties the VMs that a selector picks, and keeps them empty")
+                .arg(Arg::new("name").value_name("NAME").required(true).help("Name of the drain"))
+                .arg(
+                    Arg::new("selector")
+                        .value_name("SELECTOR")
+                        .required_unless_present("end")
+                        .help("Labels of the VMs, like `rack=r7,zone in (a,b)`"),
+                )
+                .arg(
+                    Arg::new("end")
+                        .long("end")
+                        .help("End the drain: the VMs may be used again")
+                        .action(ArgAction::SetTrue),
+                )
+                .arg(operation()),
+        )
+        .subcommand(
+            Command::new("status").about("Shows how the system stands").arg(json_flag()),
+        )
+        .subcommand(
+            Command::new("explain")
+                .about("Shows what became of one request, from its recorded usage line")
+                .arg(
+                    Arg::new("request")
+                        .value_name("REQUEST-ID")
+                        .required(true)
+                        .help("As told to the caller in the header `dotterelhoist-request`"),
+                )
+                .arg(json_flag()),
+        )
+}
+
+fn path(name: &'static str, help: &'static str) -> Arg {
+    let parser = clap::value_parser!(PathBuf);
+    Arg::new(name).value_name("FILE").help(help).required(true).value_parser(parser)
+}
+
+fn kind() -> Arg {
+    Arg::new("kind")
+        .value_name("KIND")
+        .help("`serving-group`, `service`, `workspace` or `drain`")
+        .required(true)
+        .value_parser(|text: &str| text.parse::<Kind>().map_err(|_| "there is no such kind"))
+}
+
+fn json_flag() -> Arg {
+    Arg::new("json").long("json").help("Print JSON").action(ArgAction::SetTrue)
+}
+
+fn wait() -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .help("Wait until the change is in force on every linked daemon")
+        .action(ArgAction::SetTrue)
+}
+
+fn operation() -> Arg {
+    Arg::new("operation")
+        .long("operation")
+        .value_name("ID")
+        .help("Operation id of a change that is sent again; it then gets its first answer")
+}
+
+pub(crate) async fn execute(matches: &ArgMatches) -> Result<String, Failure> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Err(Failure::Usage(vec!["give a subcommand".to_owned()]));
+    };
+    if name == "check" {
+        return check(matches);
+    }
+    let client = client(matches)?;
+    match name {
+        "apply" => apply(&client, matches).await,
+        "get" => get(&client, matches).await,
+        "delete" => delete(&client, matches).await,
+        "drain" => drain(&client, matches).await,
+        "status" => status(&client, matches).await,
+        _ => explain(&client, matches).await,
+    }
+}
+
+fn client(matches: &ArgMatches) -> Result<Client, Failure> {
+    let given = matches.get_many::<SocketAddr>("server").into_iter().flatten().copied();
+    let mut servers: Vec<SocketAddr> = given.collect();
+    if servers.is_empty() {
+        servers.push(SocketAddr::from(([127, 0, 0, 1], 7003)));
+    }
+    let token = match matches.get_one::<PathBuf>("token-file") {
+        None => None,
+        Some(path) => Some(read_file(path)?.trim().to_owned()),
+    };
+    Ok(Client { servers, token })
+}
+
+fn read_file(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path)
+        .map_err(|error| Failure::Usage(vec![format!("{}: {error}", path.display())]))
+}
+
+fn file_argument(matches: &ArgMatches) -> PathBuf {
+    matches.get_one::<PathBuf>("file").cloned().unwrap_or_default()
+}
+
+fn check(matches: &ArgMatches) -> Result<String, Failure> {
+    let path = file_argument(matches);
+    let text = read_file(&path)?;
+    match dotterelhoist_settings::parse(&text) {
+        Ok(settings) => {
+            let daemon = &settings.daemon;
+            Ok(format!("{}: right; settings of daemon {daemon}\n", path.display()))
+        }
+        Err(findings) => {
+            let line = |finding| format!("{}:{finding}", path.display());
+            Err(Failure::Usage(findings.iter().map(line).collect()))
+        }
+    }
+}
+
+/// An operation id for one object of this invocation.
+fn operation_id(matches: &ArgMatches, index: usize) -> String {
+    let drawn = || format!("{:016x}", getrandom::u64().unwrap_or_default());
+    let given = matches.get_one::<String>("operation").cloned();
+    format!("{}-{index}", given.unwrap_or_else(drawn))
+}
+
+async fn apply(client: &Client, matches: &ArgMatches) -> Result<String, Failure> {
+    let path = file_argument(matches);
+    let entries = manifest::read(&read_file(&path)?).map_err(|findings| {
+        let line = |finding| format!("{}: {finding}", path.display());
+        Failure::Usage(findings.iter().map(line).collect())
+    })?;
+    let mut text = String::new();
+    let mut revision = 0;
+    let first = operation_id(matches, 0);
+    for (index, entry) in entries.iter().enumerate() {
+        let operation = format!("{}-{index}", first.trim_end_matches("-0"));
+        let change = change(&operation, entry);
+        let reply = send_change(client, &change).await?;
+        revision = revision.max(reply["revision"].as_u64().unwrap_or(0));
+        let Entry { kind, name, .. } = entry;
+        text += &format!(
+            "{kind}/{name}: version {} accepted (operation {operation})\n",
+            reply["version"]
+        );
+    }
+    if matches.get_flag("wait") {
+        text += &wait_for(client, revision).await?;
+    }
+    Ok(text)
+}
+
+fn change(operation: &str, entry: &Entry) -> Value {
+    json!({
+        "operation": operation,
+        "kind": entry.kind,
+        "name": entry.name,
+        "expected": entry.expected,
+        "body": entry.spec,
+    })
+}
+
+async fn send_change(client: &Client, change: &Value) -> Result<Value, Failure> {
+    let reply = client.call(Method::Post, "/v1/changes", Some(change)).await?;
+    let object = format!("{}/{}", text(&change["kind"]), text(&change["name"]));
+    match reply.status {
+        200 => Ok(reply.body),
+        409 => Err(Failure::Refused(vec![format!(
+            "{object}: conflict: version {} is in force: {}",
+            reply.body["version"], reply.body["current"]
+        )])),
+        404 => Err(Failure::Refused(vec![format!("{object}: does not exist")])),
+        _ => Err(refused(&object, &reply)),
+    }
+}
+
+fn refused(subject: &str, reply: &Reply) -> Failure {
+    let findings = reply.body["findings"].as_array();
+    let lines = findings.map(|list| {
+        list.iter().map(|finding| format!("{subject}: {}", text(finding))).collect()
+    });
+    Failure::Refused(lines.unwrap_or_else(|| vec![format!("{subject}: {}", describe(&reply.body))]))
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or_default()
+}
+
+/// Waits until every daemon that is linked to the asked one has a revision in force.
+async fn wait_for(client: &Client, revision: u64) -> Result<String, Failure> {
+    let began = Instant::now();
+    loop {
+        let status = client.call(Method::Get, "/v1/status", None).await?.body;
+        let reached = |value: &Value| value["revision"].as_u64().unwrap_or(0) >= revision;
+        let daemons = status["daemons"].as_array().cloned().unwrap_or_default();
+        let linked = |daemon: &&Value| daemon["linked"] == Value::Bool(true);
+        let behind: Vec<&Value> =
+            daemons.iter().filter(linked).filter(|daemon| !reached(daemon)).collect();
+        if reached(&status) && behind.is_empty() {
+            let count = daemons.iter().filter(linked).count() + 1;
+            return Ok(format!("revision {revision} is in force on {count} daemons\n"));
+        }
+        if began.elapsed() > WAIT_MAX {
+            let names: Vec<&str> = behind.iter().map(|daemon| text(&daemon["name"])).collect();
+            let message =
+                format!("revision {revision} is accepted, but not in force on {names:?}");
+            return Err(Failure::Refused(vec![message]));
+        }
+        Timer::after(WAIT_STEP).await;
+    }
+}
+
+async fn get(client: &Client, matches: &ArgMatches) -> Result<String, Failure> {
+    let mut path = "/v1/objects".to_owned();
+    if let Some(kind) = matches.get_one::<Kind>("kind") {
+        path += &format!("?kind={kind}");
+    }
+    if let Some(name) = matches.get_one::<String>("name") {
+        path += &format!("&name={name}");
+    }
+    let reply = client.call(Method::Get, &path, None).await?;
+    if reply.status != 200 {
+        return Err(refused("get", &reply));
+    }
+    let named = matches.get_one::<String>("name").is_some();
+    if matches.get_flag("json") || named {
+        return Ok(pretty(&reply.body));
+    }
+    Ok(table::objects(&reply.body))
+}
+
+fn pretty(value: &Value) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default() + "\n"
+}
+
+async fn delete(client: &Client, matches: &ArgMatches) -> Result<String, Failure> {
+    let kind = matches.get_one::<Kind>("kind").copied().unwrap_or(Kind::Service);
+    let name = matches.get_one::<String>("name").cloned().unwrap_or_default();
+    let expected = matches.get_one::<u64>("expected");
+    let operation = operation_id(matches, 0);
+    let change = json!({
+        "operation": operation, "kind": kind, "name": name, "expected": expected, "body": null,
+    });
+    let reply = send_change(client, &change).await?;
+    let mut text = format!("{kind}/{name}: deleted (operation {operation})\n");
+    if matches.get_flag("wait") {
+        text += &wait_for(client, reply["revision"].as_u64().unwrap_or(0)).await?;
+    }
+    Ok(text)
+}
+
+async fn drain(client: &Client, matches: &ArgMatches) -> Result<String, Failure> {
+    let name = matches.get_one::<String>("name").cloned().unwrap_or_default();
+    let operation = operation_id(matches, 0);
+    let end = matches.get_flag("end");
+    let body = match matches.get_one::<String>("selector").filter(|_| !end) {
+        None => Value::Null,
+        Some(selector) => {
+            let parsed = Selector::parse(selector);
+            let parsed = parsed.map_err(|error| {
+                Failure::Usage(vec![format!("selector: {error}")])
+            })?;
+            json!({ "selector": parsed.to_string() })
+        }
+    };
+    let change = json!({
+        "operation": operation, "kind": Kind::Drain, "name": name, "body": body,
+    });
+    send_change(client, &change).await?;
+    let what = if end { "ended" } else { "begun" };
+    Ok(format!("drain/{name}: {what} (operation {operation})\n"))
+}
+
+async fn status(client: &Client, matches: &ArgMatches) -> Result<String, Failure> {
+    let reply = client.call(Method::Get, "/v1/status", None).await?;
+    if reply.status != 200 {
+        return Err(refused("status", &reply));
+    }
+    if matches.get_flag("json") {
+        return Ok(pretty(&reply.body));
+    }
+    Ok(table::status(&reply.body))
+}
+
+async fn explain(client: &Client, matches: &ArgMatches) -> Result<String, Failure> {
+    let request = matches.get_one::<String>("request").cloned().unwrap_or_default();
+    let reply = client.call(Method::Get, &format!("/v1/explain/{request}"), None).await?;
+    match reply.status {
+        200 if matches.get_flag("json") => Ok(pretty(&reply.body)),
+        200 => Ok(table::explanation(&reply.body)),
+        404 => Err(Failure::Refused(vec![format!(
+            "{request}: no usage line is recorded; the request never passed authentication, or its \
+             daemon died within a second of it"
+        )])),
+        _ => Err(refused(&request, &reply)),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/read.rs
@@ -0,0 +1,398 @@
+//! From text to [`Settings`], with findings.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{parse_to_ast, CollectOptions, ParseOptions};
+use strum::VariantNames;
+
+use crate::{
+    check, Finding, Format, Holds, Level, Limits, Listen, Log, Logging, Metrics, Peer, Policy,
+    Settings, Voter,
+};
+
+pub(crate) fn read(text: &str, findings: &mut Vec<Finding>) -> Option<Settings> {
+    let options = ParseOptions::default();
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options);
+    let value = match parsed {
+        Ok(parsed) => parsed.value,
+        Err(error) => {
+            let (line, column) = place(text, error.range().start);
+            let message = format!("{}", error.kind());
+            findings.push(Finding { line, column, path: String::new(), message });
+            return None;
+        }
+    };
+    let Some(Value::Object(root)) = value else {
+        let message = "must be an object in braces".to_owned();
+        findings.push(Finding { line: 1, column: 1, path: String::new(), message });
+        return None;
+    };
+    let mut section = Section { text, object: &root, path: String::new(), findings, known: vec![] };
+    let settings = read_root(&mut section);
+    section.finish();
+    let settings = settings?;
+    check::check(&settings, &root, text, findings);
+    Some(settings)
+}
+
+/// Line and column of a byte offset, both from 1.
+pub(crate) fn place(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text[..offset.min(text.len())];
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |at| at + 1);
+    (line, before[start..].chars().count() + 1)
+}
+
+/// An object of the file while it is read.
+struct Section<'a, 'f> {
+    text: &'a str,
+    object: &'a Object<'a>,
+    path: String,
+    findings: &'f mut Vec<Finding>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Section<'a, '_> {
+    fn join(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            return name.to_owned();
+        }
+        format!("{}.{name}", self.path)
+    }
+
+    fn report(&mut self, offset: usize, path: String, message: String) {
+        let (line, column) = place(self.text, offset);
+        self.findings.push(Finding { line, column, path, message });
+    }
+
+    fn value(&mut self, name: &'static str) -> Option<&'a Value<'a>> {
+        self.known.push(name);
+        self.object.get(name).map(|property| &property.value)
+    }
+
+    fn missing<Item>(&mut self, name: &'static str, what: &str) -> Option<Item> {
+        let offset = self.object.range().start;
+        let path = self.join(name);
+        self.report(offset, path, format!("is missing; give {what}"));
+        None
+    }
+
+    fn wrong<Item>(&mut self, name: &str, value: &Value<'a>, message: &str) -> Option<Item> {
+        let path = self.join(name);
+        self.report(value.range().start, path, message.to_owned());
+        None
+    }
+
+    fn optional_string(&mut self, name: &'static str) -> Option<&'a str> {
+        match self.value(name)? {
+            Value::StringLit(string) => Some(string.value.as_ref()),
+            other => self.wrong(name, other, "must be a string"),
+        }
+    }
+
+    fn string(&mut self, name: &'static str, what: &str) -> Option<&'a str> {
+        if self.object.get(name).is_none() {
+            self.known.push(name);
+            return self.missing(name, what);
+        }
+        self.optional_string(name)
+    }
+
+    fn name(&mut self, name: &'static str, what: &str) -> Option<Arc<str>> {
+        let string = self.string(name, what)?;
+        let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if string.is_empty() || !string.chars().all(allowed) {
+            let value = &self.object.get(name)?.value;
+            return self.wrong(name, value, "use letters, digits, `-`, `_` and `.`");
+        }
+        Some(string.into())
+    }
+
+    fn address(&mut self, name: &'static str) -> Option<SocketAddr> {
+        let what = "an IP address with port, like \"10.0.0.1:7000\"";
+        let string = self.string(name, what)?;
+        match string.parse() {
+            Ok(address) => Some(address),
+            Err(_) => {
+                let value = &self.object.get(name)?.value;
+                self.wrong(name, value, &format!("must be {what}"))
+            }
+        }
+    }
+
+    fn number(&mut self, name: &'static str, default: f64, range: RangeInclusive<f64>) -> Option<f64> {
+        let Some(value) = self.value(name) else { return Some(default) };
+        let Value::NumberLit(number) = value else {
+            return self.wrong(name, value, "must be a number");
+        };
+        let parsed = number.value.parse().ok().filter(|parsed| range.contains(parsed));
+        if parsed.is_none() {
+            let message = format!("must be from {} to {}", range.start(), range.end());
+            return self.wrong(name, value, &message);
+        }
+        parsed
+    }
+
+    fn integer(&mut self, name: &'static str, default: u64, range: RangeInclusive<u64>) -> Option<u64> {
+        let Some(value) = self.value(name) else { return Some(default) };
+        let Value::NumberLit(number) = value else {
+            return self.wrong(name, value, "must be a whole number");
+        };
+        let parsed = number.value.parse().ok().filter(|parsed| range.contains(parsed));
+        if parsed.is_none() {
+            let message =
+                format!("must be a whole number from {} to {}", range.start(), range.end());
+            return self.wrong(name, value, &message);
+        }
+        parsed
+    }
+
+    fn choice<Item>(&mut self, name: &'static str, default: Item) -> Option<Item>
+    where
+        Item: FromStr + VariantNames,
+    {
+        if self.object.get(name).is_none() {
+            self.known.push(name);
+            return Some(default);
+        }
+        let string = self.optional_string(name)?;
+        match string.parse() {
+            Ok(item) => Some(item),
+            Err(_) => {
+                let value = &self.object.get(name)?.value;
+                let names = Item::VARIANTS.join("`, `");
+                self.wrong(name, value, &format!("must be one of `{names}`"))
+            }
+        }
+    }
+
+    /// Reads a section; the default stands for one that is not given.
+    fn section<Item>(
+        &mut self,
+        name: &'static str,
+        default: Option<Item>,
+        read: impl FnOnce(&mut Section<'a, '_>) -> Option<Item>,
+    ) -> Option<Item> {
+        let path = self.join(name);
+        match self.value(name) {
+            None if default.is_some() => default,
+            None => self.missing(name, "an object in braces"),
+            Some(Value::Object(object)) => {
+                let mut section = Section {
+                    text: self.text,
+                    object,
+                    path,
+                    findings: self.findings,
+                    known: Vec::new(),
+                };
+                let item = read(&mut section);
+                section.finish();
+                item
+            }
+            Some(other) => self.wrong(name, other, "must be an object in braces"),
+        }
+    }
+
+    fn list<Item>(
+        &mut self,
+        name: &'static str,
+        read: impl Fn(&mut Section<'a, '_>) -> Option<Item>,
+    ) -> Option<Vec<Item>> {
+        let Some(value) = self.value(name) else { return Some(Vec::new()) };
+        let Value::Array(array) = value else {
+            return self.wrong(name, value, "must be a list in brackets");
+        };
+        let mut items = Vec::new();
+        for (index, element) in array.elements.iter().enumerate() {
+            let path = format!("{}[{index}]", self.join(name));
+            let Value::Object(object) = element else {
+                let message = "must be an object in braces".to_owned();
+                self.report(element.range().start, path, message);
+                continue;
+            };
+            let mut section = Section {
+                text: self.text,
+                object,
+                path,
+                findings: self.findings,
+                known: Vec::new(),
+            };
+            items.extend(read(&mut section));
+            section.finish();
+        }
+        Some(items)
+    }
+
+    /// Reports the settings that nobody has asked for.
+    fn finish(self) {
+        for property in &self.object.properties {
+            let name = property.name.as_str();
+            if self.known.contains(&name) {
+                continue;
+            }
+            let (line, column) = place(self.text, property.range().start);
+            let path = self.join(name);
+            let message = format!("is not a setting; here are `{}`", self.known.join("`, `"));
+            self.findings.push(Finding { line, column, path, message });
+        }
+    }
+}
+
+fn read_root(root: &mut Section<'_, '_>) -> Option<Settings> {
+    let daemon = root.name("daemon", "the name of this daemon");
+    let zone = root.name("zone", "the availability zone of this daemon");
+    let zones = read_zones(root);
+    let listen = root.section("listen", None, read_listen);
+    let peers = root.list("peers", read_peer);
+    let logs = root.list("logs", read_log);
+    let data_folder = root.optional_string("data-folder").map(Into::into);
+    let operator_tokens = root.optional_string("operator-tokens").map(Into::into);
+    let logging = Logging { format: Format::Human, level: Level::Info };
+    let logging = root.section("logging", Some(logging), |section| {
+        let format = section.choice("format", Format::Human);
+        let level = section.choice("level", Level::Info);
+        Some(Logging { format: format?, level: level? })
+    });
+    let metrics = root.section("metrics", Some(None), |section| {
+        let statsd = section.address("statsd");
+        let prefix = section.optional_string("prefix").unwrap_or("dotterelhoist").to_owned();
+        Some(Some(Metrics { statsd: statsd?, prefix }))
+    });
+    let policy = read_policy(root);
+    let limits = read_limits(root);
+    Some(Settings {
+        daemon: daemon?,
+        zone: zone?,
+        zones: zones?,
+        listen: listen?,
+        peers: peers?,
+        logs: logs?,
+        data_folder,
+        operator_tokens,
+        logging: logging?,
+        metrics: metrics?,
+        policy: policy?,
+        limits: limits?,
+    })
+}
+
+fn read_zones(root: &mut Section<'_, '_>) -> Option<Vec<Arc<str>>> {
+    let Some(value) = root.value("zones") else {
+        return root.missing("zones", "the list of all availability zones");
+    };
+    let Value::Array(array) = value else {
+        return root.wrong("zones", value, "must be a list in brackets");
+    };
+    let mut zones: Vec<Arc<str>> = Vec::new();
+    for element in &array.elements {
+        match element {
+            Value::StringLit(string) if zones.iter().any(|zone| **zone == *string.value) => {
+                root.wrong::<()>("zones", element, "names an availability zone twice");
+            }
+            Value::StringLit(string) => zones.push(string.value.as_ref().into()),
+            other => {
+                root.wrong::<()>("zones", other, "must be a list of strings");
+            }
+        }
+    }
+    Some(zones)
+}
+
+fn read_listen(section: &mut Section<'_, '_>) -> Option<Listen> {
+    let callers = section.address("callers");
+    let endpoints = section.address("endpoints");
+    let operators = section.address("operators");
+    let daemons = section.address("daemons");
+    Some(Listen {
+        callers: callers?,
+        endpoints: endpoints?,
+        operators: operators?,
+        daemons: daemons?,
+    })
+}
+
+fn read_peer(section: &mut Section<'_, '_>) -> Option<Peer> {
+    let daemon = section.name("daemon", "the name of the other daemon");
+    let zone = section.name("zone", "its availability zone");
+    let address = section.address("address");
+    Some(Peer { daemon: daemon?, zone: zone?, address: address? })
+}
+
+fn read_log(section: &mut Section<'_, '_>) -> Option<Log> {
+    let name = section.name("name", "the name of the log");
+    let holds = if section.object.get("holds").is_some() {
+        section.choice("holds", Holds::Configuration)
+    } else {
+        section.missing("holds", "`configuration`, `claims` or `placement`")
+    };
+    section.known.push("holds");
+    let zone = section.optional_string("zone").map(Into::into);
+    let voters = section.list("voters", |section| {
+        let daemon = section.name("daemon", "the name of a daemon");
+        let weight = section.integer("weight", 1, 1..=100);
+        Some(Voter { daemon: daemon?, weight: weight? as u32 })
+    });
+    Some(Log { name: name?, holds: holds?, zone, voters: voters? })
+}
+
+fn read_policy(root: &mut Section<'_, '_>) -> Option<Policy> {
+    let default = Policy {
+        downtime_weight: 1.0,
+        stranded_weight: 0.02,
+        load_seconds: 30.0,
+        loads_per_minute: 120,
+        queue: 4096,
+        retry_ratio: 0.1,
+        affinity_bound: 1.25,
+    };
+    root.section("policy", Some(default.clone()), |section| {
+        let downtime = section.number("downtime-weight", default.downtime_weight, 0.0..=1e6);
+        let stranded = section.number("stranded-weight", default.stranded_weight, 0.0..=1e6);
+        let load = section.number("load-seconds", default.load_seconds, 0.1..=36000.0);
+        let loads = u64::from(default.loads_per_minute);
+        let loads = section.integer("loads-per-minute", loads, 1..=1_000_000);
+        let queue = section.integer("queue", u64::from(default.queue), 1..=1_000_000);
+        let retry = section.number("retry-ratio", default.retry_ratio, 0.0..=1.0);
+        let bound = section.number("affinity-bound", default.affinity_bound, 1.0..=100.0);
+        Some(Policy {
+            downtime_weight: downtime?,
+            stranded_weight: stranded?,
+            load_seconds: load?,
+            loads_per_minute: loads? as u32,
+            queue: queue? as u32,
+            retry_ratio: retry?,
+            affinity_bound: bound?,
+        })
+    })
+}
+
+fn read_limits(root: &mut Section<'_, '_>) -> Option<Limits> {
+    let default = Limits {
+        body_bytes: 4 << 20,
+        head_timeout_ms: 10_000,
+        body_timeout_ms: 30_000,
+        connections: 4096,
+        held_answer_bytes: 1 << 20,
+    };
+    root.section("limits", Some(default.clone()), |section| {
+        let body = section.integer("body-bytes", default.body_bytes as u64, 1..=1 << 30);
+        let head = section.integer("head-timeout-ms", default.head_timeout_ms, 1..=600_000);
+        let rest = section.integer("body-timeout-ms", default.body_timeout_ms, 1..=600_000);
+        let count = u64::from(default.connections);
+        let count = section.integer("connections", count, 1..=1_000_000);
+        let held = default.held_answer_bytes as u64;
+        let held = section.integer("held-answer-bytes", held, 1..=64 << 20);
+        Some(Limits {
+            body_bytes: body? as usize,
+            head_timeout_ms: head?,
+            body_timeout_ms: rest?,
+            connections: count? as u32,
+            held_answer_bytes: held? as usize,
+        })
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/load.rs
@@ -0,0 +1,93 @@
+//! Load on callers' listeners, with latency histograms.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use smol::net::TcpStream;
+
+use crate::client::{call_on, Call, Reply};
+
+/// What a run came to.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Microseconds to the first byte of each whole answer.
+    pub first: Histogram<u64>,
+    /// Microseconds to the end of each whole answer.
+    pub total: Histogram<u64>,
+    /// Whole answers with status 200.
+    pub served: u64,
+    /// All other answers, and calls without one.
+    pub failed: u64,
+    /// Seconds that the run took.
+    pub seconds: f64,
+}
+
+impl Report {
+    /// First-byte latency at a quantile, in milliseconds.
+    pub fn first_ms(&self, quantile: f64) -> f64 {
+        self.first.value_at_quantile(quantile) as f64 / 1000.0
+    }
+}
+
+/// Makes `count` calls from `workers` callers at a time, each with a connection of its own, and
+/// shows each reply to `check`.
+pub async fn run<Make, Check>(
+    addresses: &[SocketAddr],
+    workers: usize,
+    count: usize,
+    make: Make,
+    check: Check,
+) -> Report
+where
+    Make: Fn(usize) -> Call + Send + Sync + 'static,
+    Check: Fn(usize, &Reply) -> bool + Send + Sync + 'static,
+{
+    let began = Instant::now();
+    let empty = || Histogram::new(3).expect("three digits are allowed");
+    let report = Report { first: empty(), total: empty(), served: 0, failed: 0, seconds: 0.0 };
+    let report = Arc::new(Mutex::new(report));
+    let (make, check) = (Arc::new(make), Arc::new(check));
+    let mut tasks = Vec::new();
+    for worker in 0..workers {
+        let address = addresses[worker % addresses.len()];
+        let (make, check, report) = (make.clone(), check.clone(), report.clone());
+        tasks.push(smol::spawn(async move {
+            let mut stream = TcpStream::connect(address).await.ok();
+            for index in (worker..count).step_by(workers) {
+                if stream.is_none() {
+                    stream = TcpStream::connect(address).await.ok();
+                }
+                let call = make(index);
+                let reply = match &stream {
+                    Some(stream) => call_on(stream, address, &call).await.ok(),
+                    None => None,
+                };
+                let good = reply.as_ref().is_some_and(|reply| check(index, reply));
+                if !good {
+                    stream = None;
+                }
+                note(&report, reply.as_ref().filter(|_| good));
+            }
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+    let mut report = report.lock().expect("no worker panics").clone();
+    report.seconds = began.elapsed().as_secs_f64();
+    report
+}
+
+fn note(report: &Mutex<Report>, reply: Option<&Reply>) {
+    let Ok(mut report) = report.lock() else { return };
+    match reply {
+        Some(reply) => {
+            report.served += 1;
+            report.first.record(reply.first.as_micros() as u64).ok();
+            report.total.record(reply.total.as_micros() as u64).ok();
+        }
+        None => report.failed += 1,
+    }
+}
--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,294 @@
+//! Starts a small deployment on this machine, sends it 100 requests, and stops it.
+//!
+//! `cargo run --release --example quickstart` starts 6 daemons in 3 availability zones, stand-in
+//! engines for 3 serving groups of 2 members with a spare VM each, and a plain service, each in a
+//! process of its own: this program starts itself again in the role that its first argument names.
+//! Halfway it kills one member of a serving group under load.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use dotterelhoist_testkit::client::{call, Call, Reply};
+use dotterelhoist_testkit::deployment::Deployment;
+use dotterelhoist_testkit::engine::{Config, Engine};
+use dotterelhoist_testkit::plain::Plain;
+use dotterelhoist_testkit::process::Process;
+use serde_json::{json, Value};
+use smol::Timer;
+
+/// Availability zones.
+const ZONES: [&str; 3] = ["gulf-a", "gulf-b", "gulf-c"];
+/// Requests that are sent.
+const REQUESTS: usize = 100;
+/// Requests of these that book a table.
+const BOOKINGS: usize = 20;
+/// Time for all requests.
+const LIMIT: Duration = Duration::from_secs(25);
+/// Tokens of an answer.
+const TOKENS: u32 = 20;
+/// Keys of the two workspaces.
+const KEYS: [&str; 2] = ["captains-key", "mosques-key"];
+/// SHA-256 of these keys.
+const KEY_HASHES: [&str; 2] = [
+    "f473b29ce199d45c90d425cc71fceebba25eeabcf751cd05b48dd385f8defc82",
+    "543e8933d32729e8b8a3fec5a6a49278846a0e96b8b966958497fe18f04fcf44",
+];
+
+fn main() -> ExitCode {
+    let mut arguments: Vec<OsString> = std::env::args_os().collect();
+    if arguments.len() < 2 {
+        return match smol::block_on(run()) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(reason) => {
+                println!("failed: {reason}");
+                ExitCode::FAILURE
+            }
+        };
+    }
+    let role = arguments.remove(1);
+    match role.to_str() {
+        Some("daemon") => dotterelhoist_daemon::run(arguments),
+        Some("command") => dotterelhoist_operator::run(arguments),
+        Some("engine") => stand_in(&arguments[1], false),
+        Some("plain") => stand_in(&arguments[1], true),
+        _ => ExitCode::FAILURE,
+    }
+}
+
+/// Runs a stand-in until it is killed.
+fn stand_in(config: &OsString, plain: bool) -> ExitCode {
+    let config = config.to_str().and_then(|text| serde_json::from_str::<Config>(text).ok());
+    let Some(config) = config else { return ExitCode::FAILURE };
+    smol::block_on(async {
+        if plain {
+            let _plain = Plain::spawn(config).await;
+            std::future::pending::<()>().await;
+            return;
+        }
+        let engine = Engine::spawn(config).await;
+        engine.died().await;
+    });
+    ExitCode::SUCCESS
+}
+
+fn program(role: &str) -> Vec<OsString> {
+    let own = std::env::current_exe().unwrap_or_default();
+    vec![own.into(), role.into()]
+}
+
+async fn run() -> Result<(), String> {
+    let mut deployment = Deployment::plan(&ZONES, 2, 0, program("daemon"));
+    deployment.start_all();
+    let mut stand_ins = start_stand_ins(&deployment)?;
+    deployment.wait_ready().await;
+    println!("6 daemons in 3 availability zones are ready");
+    apply(&deployment)?;
+    deployment.wait_routes(ZONES.len() + 1).await;
+    println!("3 serving groups of 2 members and 1 plain service take requests");
+    let began = Instant::now();
+    let first = send(&deployment, 0..REQUESTS / 2).await;
+    let killed = stand_ins.remove(0);
+    let second = async {
+        let mut killed = killed;
+        Timer::after(Duration::from_millis(20)).await;
+        killed.kill();
+    };
+    let (second, ()) = smol::future::zip(send(&deployment, REQUESTS / 2..REQUESTS), second).await;
+    let outcomes: Vec<Outcome> = first.into_iter().chain(second).collect();
+    report(&deployment, &outcomes, began).await;
+    let explained = explain(&deployment, &outcomes)?;
+    println!("{explained}");
+    stop(&mut deployment)?;
+    let served = outcomes.iter().filter(|outcome| outcome.served).count();
+    if served != REQUESTS {
+        return Err(format!("served {served} of {REQUESTS}"));
+    }
+    println!("served {served} of {REQUESTS}");
+    Ok(())
+}
+
+/// Starts two members and a spare in each zone, and one plain service.
+fn start_stand_ins(deployment: &Deployment) -> Result<Vec<Process>, String> {
+    let mut stand_ins = Vec::new();
+    for zone in ZONES {
+        for number in 0..3 {
+            let vm = format!("{zone}-vm-{number}");
+            let mut config =
+                Config::new(&vm, zone, &format!("{zone}-rack"), &deployment.announce_to(zone));
+            config.labels.insert("pool".to_owned(), "assist".to_owned());
+            stand_ins.push(start_stand_in(deployment, "engine", &config)?);
+        }
+    }
+    let zone = ZONES[1];
+    let mut config = Config::new("desk-vm", zone, "desk-rack", &deployment.announce_to(zone));
+    config.labels.insert("pool".to_owned(), "desk".to_owned());
+    stand_ins.push(start_stand_in(deployment, "plain", &config)?);
+    Ok(stand_ins)
+}
+
+fn start_stand_in(deployment: &Deployment, role: &str, config: &Config) -> Result<Process, String> {
+    let text = serde_json::to_string(config).map_err(|error| error.to_string())?;
+    let log = deployment.log_file(&config.vm);
+    Process::spawn(&program(role), &[text.into()], &log).map_err(|error| error.to_string())
+}
+
+/// Applies the configuration with the operators' command, in a process of its own.
+fn apply(deployment: &Deployment) -> Result<(), String> {
+    let path = deployment.folder.path().join("objects.json");
+    std::fs::write(&path, objects().to_string()).map_err(|error| error.to_string())?;
+    let output = command(deployment, &["apply".into(), path.into(), "--wait".into()])?;
+    print!("{output}");
+    Ok(())
+}
+
+fn objects() -> Value {
+    let workspace = |name: &str, hash: &str| {
+        json!({ "kind": "workspace", "name": name, "spec": { "key-sha256": hash } })
+    };
+    json!([
+        {
+            "kind": "serving-group",
+            "name": "assist",
+            "spec": {
+                "labels": { "app": "assist" },
+                "model": "assist-1",
+                "members": 2,
+                "replicas": 3,
+                "selector": "pool=assist",
+            },
+        },
+        { "kind": "service", "name": "iftar-assist", "spec": { "groups": "app=assist" } },
+        { "kind": "service", "name": "tent-desk", "spec": { "endpoints": "pool=desk" } },
+        workspace("captains", KEY_HASHES[0]),
+        workspace("mosques", KEY_HASHES[1]),
+    ])
+}
+
+fn command(deployment: &Deployment, arguments: &[OsString]) -> Result<String, String> {
+    let program = program("command");
+    let mut command = std::process::Command::new(&program[0]);
+    command.args(&program[1..]).args(arguments);
+    for daemon in &deployment.daemons {
+        command.arg("--server").arg(daemon.addresses.operators.to_string());
+    }
+    let output = command.output().map_err(|error| error.to_string())?;
+    if !output.status.success() {
+        return Err(String::from_utf8_lossy(&output.stderr).into_owned());
+    }
+    Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+/// What became of a request.
+struct Outcome {
+    served: bool,
+    refused: u32,
+    broken: u32,
+    request: String,
+}
+
+/// Sends the requests with these numbers at once, each again as long as it may be.
+async fn send(deployment: &Deployment, numbers: std::ops::Range<usize>) -> Vec<Outcome> {
+    let callers = deployment.callers();
+    let tasks: Vec<_> = numbers
+        .map(|number| {
+            let callers = callers.clone();
+            smol::spawn(async move { send_one(number, &callers).await })
+        })
+        .collect();
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        outcomes.push(task.await);
+    }
+    outcomes
+}
+
+async fn send_one(number: usize, callers: &[SocketAddr]) -> Outcome {
+    let booking = number % (REQUESTS / BOOKINGS) == 0;
+    let stream = number % 2 == 0;
+    let prompt = format!("headcount of tent {number}");
+    let key = KEYS[number % 2];
+    let call_made = if booking {
+        Call::plain("tent-desk", key, "/book", &prompt).keyed(&format!("tent-{number}"))
+    } else {
+        Call::generate("iftar-assist", key, &prompt, TOKENS, stream)
+    };
+    let mut outcome = Outcome { served: false, refused: 0, broken: 0, request: String::new() };
+    let began = Instant::now();
+    let mut turn = number;
+    while began.elapsed() < LIMIT {
+        let reply = call(callers[turn % callers.len()], &call_made).await;
+        turn += 1;
+        let Ok(reply) = reply else {
+            outcome.broken += 1;
+            continue;
+        };
+        if is_whole(&reply, booking, &prompt, stream) {
+            outcome.served = true;
+            outcome.request = reply.request;
+            return outcome;
+        }
+        match reply.status {
+            200 => outcome.broken += 1,
+            _ => outcome.refused += 1,
+        }
+        Timer::after(Duration::from_millis(200)).await;
+    }
+    outcome
+}
+
+fn is_whole(reply: &Reply, booking: bool, prompt: &str, stream: bool) -> bool {
+    if booking {
+        return reply.status == 200 && reply.whole && reply.json()["body"] == prompt;
+    }
+    reply.answers(prompt, TOKENS, stream)
+}
+
+async fn report(deployment: &Deployment, outcomes: &[Outcome], began: Instant) {
+    let first = outcomes.iter().filter(|o| o.served && o.refused + o.broken == 0).count();
+    let refused: u32 = outcomes.iter().map(|outcome| outcome.refused).sum();
+    let broken: u32 = outcomes.iter().map(|outcome| outcome.broken).sum();
+    println!(
+        "{first} whole at the first try; {refused} refusals and {broken} visibly broken answers \
+         were tried again; {:.1} s",
+        began.elapsed().as_secs_f64()
+    );
+    let name = &deployment.daemons[0].name;
+    deployment
+        .wait_for(name, "the repaired group", |status| {
+            let zones = status["zones"].as_array();
+            zones.is_some_and(|zones| zones.iter().all(|zone| zone["serving"] == 2))
+        })
+        .await;
+    let status = deployment.status(name).await;
+    for zone in status["zones"].as_array().into_iter().flatten() {
+        println!(
+            "{}: group downtime {} ms, stranded {} accelerator-ms",
+            zone["zone"].as_str().unwrap_or_default(),
+            zone["group-downtime-ms"],
+            zone["stranded-ms"]
+        );
+    }
+}
+
+fn explain(deployment: &Deployment, outcomes: &[Outcome]) -> Result<String, String> {
+    let request = outcomes.first().map(|outcome| outcome.request.clone()).unwrap_or_default();
+    command(deployment, &["explain".into(), request.into()])
+}
+
+fn stop(deployment: &mut Deployment) -> Result<(), String> {
+    for daemon in &deployment.daemons {
+        if let Some(process) = &daemon.process {
+            process.signal("TERM");
+        }
+    }
+    for daemon in &mut deployment.daemons {
+        let Some(process) = &mut daemon.process else { continue };
+        let status = process.wait(Duration::from_secs(10));
+        if !status.is_some_and(|status| status.success()) {
+            return Err(format!("{} did not stop gracefully: {status:?}", daemon.name));
+        }
+    }
+    Ok(())
+}
