--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -209,9 +209,10 @@
         let first = self.starts.front().copied().unwrap_or(now);
         let window = now.since(first).max(Duration::from_millis(250)).as_secs_f64();
         let rate = self.starts.len() as f64 / window;
-        let others = self.lanes.iter().filter(|(name, lane)| {
-            !lane.waiting.is_empty() && **name != *workspace
-        });
+        let others = self
+            .lanes
+            .iter()
+            .filter(|(name, lane)| !lane.waiting.is_empty() && **name != *workspace);
         let others: f64 = others.map(|(_, lane)| lane.share).sum();
         let own = f64::from(share.max(1));
         let own_rate = rate * own / (own + others);
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -126,7 +126,8 @@
             let holder = current.and_then(|object| object.body.clone()).unwrap_or_default();
             let verdict = Verdict::Conflict as i32;
             let revision = self.revision;
-            let outcome = Outcome { verdict, version: expected, revision, holder, ..Outcome::default() };
+            let outcome =
+                Outcome { verdict, version: expected, revision, holder, ..Outcome::default() };
             return outcome;
         }
         if change.body.is_none() && !exists {
--- a/crates/core/src/control/placements.rs
+++ b/crates/core/src/control/placements.rs
@@ -58,9 +58,8 @@
         let releasing = current.is_some_and(|placement| placement.releasing);
         let taken = place.members.iter().any(|seat| {
             let other = self.holder(&seat.vm).is_some_and(|holder| **holder != *place.group);
-            let leaving = current.is_some_and(|placement| {
-                placement.leaving.iter().any(|left| left.vm == seat.vm)
-            });
+            let leaving = current
+                .is_some_and(|placement| placement.leaving.iter().any(|left| left.vm == seat.vm));
             other || leaving
         });
         if generation != place.expected || releasing || taken || has_twice(&place.members) {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -27,6 +27,8 @@
     pub announcement: Announcement,
     /// A moment after which that announcement was certainly made.
     pub as_of: Instant,
+    /// When it was last heard of.
+    pub heard: Instant,
     /// Announced labels, with `zone`, `fabric-domain` and `accelerators` added.
     pub labels: Labels,
 }
@@ -82,18 +84,19 @@
     }
 
     /// Takes in an announcement that was made after `as_of`.
-    pub fn hear(&mut self, announcement: Announcement, as_of: Instant) -> Change {
+    pub fn hear(&mut self, announcement: Announcement, as_of: Instant, now: Instant) -> Change {
         let vm: Name = announcement.vm.as_str().into();
         let Some(known) = self.endpoints.get_mut(&vm) else {
             let touched = SmallVec::from_iter([subject(&announcement)]);
             self.join(&announcement);
             let labels = labels(&announcement);
-            self.endpoints.insert(vm, Endpoint { announcement, as_of, labels });
+            self.endpoints.insert(vm, Endpoint { announcement, as_of, heard: now, labels });
             return Change::Changed(touched);
         };
         if announcement.sequence < known.announcement.sequence {
             return Change::Stale;
         }
+        known.heard = now;
         known.as_of = known.as_of.max(as_of);
         if same_state(&known.announcement, &announcement) {
             known.announcement = announcement;
@@ -112,7 +115,7 @@
 
     /// Forgets endpoints that have been silent for a long time.
     pub fn forget_silent(&mut self, now: Instant) {
-        let silent = |endpoint: &Endpoint| now.since(endpoint.as_of) > FORGET_AFTER;
+        let silent = |endpoint: &Endpoint| now.since(endpoint.heard) > FORGET_AFTER;
         let gone: Vec<Announcement> = self
             .endpoints
             .values()
@@ -203,10 +206,8 @@
 
 fn fold_group(name: &str, members: SmallVec<[&Endpoint; 8]>) -> Option<Folded> {
     let generation = members.iter().map(|member| member.announcement.generation).max()?;
-    let current: SmallVec<[&Endpoint; 8]> = members
-        .into_iter()
-        .filter(|member| member.announcement.generation == generation)
-        .collect();
+    let current: SmallVec<[&Endpoint; 8]> =
+        members.into_iter().filter(|member| member.announcement.generation == generation).collect();
     let size = current[0].announcement.members;
     let mut ranks: SmallVec<[u32; 8]> =
         current.iter().map(|member| member.announcement.rank).collect();
@@ -215,9 +216,7 @@
     let complete = ranks.len() as u32 == size && current.len() as u32 == size;
     let serves = |phase| matches!(phase, Phase::Ready | Phase::Draining);
     let whole = complete && current.iter().all(|member| serves(member.phase()));
-    let ready = |member: &Endpoint| {
-        member.phase() == Phase::Ready && !member.announcement.leaving
-    };
+    let ready = |member: &Endpoint| member.phase() == Phase::Ready && !member.announcement.leaving;
     let accepting = whole && current.iter().all(|member| ready(member));
     let times = current.iter().map(|member| member.as_of);
     let as_of = if accepting { times.min()? } else { times.max()? };
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -114,7 +114,10 @@
 
     use super::Phase;
 
-    pub(super) fn serialize<Target>(phase: &i32, target: Target) -> Result<Target::Ok, Target::Error>
+    pub(super) fn serialize<Target>(
+        phase: &i32,
+        target: Target,
+    ) -> Result<Target::Ok, Target::Error>
     where
         Target: Serializer,
     {
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -190,8 +190,7 @@
             Kind::Workspace => serde_json::from_str(body).map(Spec::Workspace),
             Kind::Drain => serde_json::from_str(body).map(Spec::Drain),
         };
-        let spec =
-            spec.map_err(|error| vec![Error::Shape { kind, detail: error.to_string() }])?;
+        let spec = spec.map_err(|error| vec![Error::Shape { kind, detail: error.to_string() }])?;
         let errors = spec.check();
         if errors.is_empty() {
             return Ok(spec);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -256,9 +256,10 @@
         let Some(last) = last else { return };
         let passed = scene.now.since(last).as_millis() as u64;
         let serves = |name: &Name| {
-            scene.placements.group(name).is_some_and(|placement| {
-                !placement.releasing && is_whole(scene, name, placement)
-            })
+            scene
+                .placements
+                .group(name)
+                .is_some_and(|placement| !placement.releasing && is_whole(scene, name, placement))
         };
         let down = wanted.iter().filter(|(name, _)| !serves(name)).count() as u64;
         self.downtime_ms += passed * down;
@@ -544,12 +545,8 @@
         if !self.may_order(scene, vm) {
             return;
         }
-        let order = Order {
-            fencing: scene.term,
-            vm: vm.to_owned(),
-            generation,
-            ..Order::default()
-        };
+        let order =
+            Order { fencing: scene.term, vm: vm.to_owned(), generation, ..Order::default() };
         self.give(scene, vm, order, plan);
     }
 
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -26,8 +26,8 @@
 
 pub mod log;
 pub mod message;
-pub mod quorum;
 mod progress;
+pub mod quorum;
 
 use self::log::Log;
 use self::message::{Append, AppendReply, Entry, Install, Payload, Vote, VoteReply, Voter};
@@ -259,8 +259,7 @@
         if self.role == Role::Leader {
             return self.reads(now);
         }
-        let heard =
-            self.heard_leader.is_some_and(|heard| now.since(heard) < self.timing.election);
+        let heard = self.heard_leader.is_some_and(|heard| now.since(heard) < self.timing.election);
         heard && self.applied >= self.leader_commit
     }
 
@@ -443,8 +442,8 @@
         if !vote.pre && vote.term > self.term {
             self.follow(vote.term, None, now, draw, outputs);
         }
-        let current = (vote.last_term, vote.last_index)
-            >= (self.log.last_term(), self.log.last_index());
+        let current =
+            (vote.last_term, vote.last_index) >= (self.log.last_term(), self.log.last_index());
         let free = match &self.vote {
             None => true,
             Some(voted) => **voted == *candidate.replica,
@@ -753,8 +752,8 @@
     /// Exchanges lost disks for learners that have caught up, one change at a time: first the old
     /// identity leaves, then the new one enters, so that any two successive quorums meet.
     fn admit_learners(&mut self, now: Instant, outputs: &mut Vec<Output>) {
-        let settled = self.log.term(self.commit) == Some(self.term)
-            && self.log.voters_index() <= self.commit;
+        let settled =
+            self.log.term(self.commit) == Some(self.term) && self.log.voters_index() <= self.commit;
         if !settled || !self.leads(now) {
             return;
         }
--- a/crates/core/src/replica/log.rs
+++ b/crates/core/src/replica/log.rs
@@ -152,8 +152,7 @@
         if self.entries.is_empty() {
             self.voters.clear();
         }
-        self.voters
-            .insert(0, Listed { index: snapshot.index, voters: snapshot.voters.clone() });
+        self.voters.insert(0, Listed { index: snapshot.index, voters: snapshot.voters.clone() });
         self.durable = self.durable.max(snapshot.index);
         self.snapshot = snapshot;
     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -20,7 +20,7 @@
 
 /// Prefixes remembered in one half of the memory.
 const PREFIXES_KEPT: usize = 50_000;
-/// Age after which a view is dropped.
+/// Time after which a view that is not heard of any more is dropped.
 const VIEW_KEPT: Duration = Duration::from_secs(600);
 
 /// What one host says of a route.
@@ -30,6 +30,8 @@
     pub entry: Entry,
     /// A moment after which the announcements behind it were certainly made.
     pub as_of: Instant,
+    /// When it was last heard of.
+    pub heard: Instant,
 }
 
 /// A group instance or plain endpoint.
@@ -66,8 +68,7 @@
 impl Route {
     fn live(&self, now: Instant) -> impl Iterator<Item = &View> {
         let young = move |view: &&View| now.since(view.as_of) < MEMBER_TTL;
-        let generation =
-            self.views.iter().filter(young).map(|view| view.entry.generation).max();
+        let generation = self.views.iter().filter(young).map(|view| view.entry.generation).max();
         self.views
             .iter()
             .filter(young)
@@ -198,17 +199,18 @@
     }
 
     /// Takes in an entry that holds as of `as_of`; true if its content is new.
-    pub fn hear(&mut self, entry: Entry, as_of: Instant) -> bool {
+    pub fn hear(&mut self, entry: Entry, as_of: Instant, now: Instant) -> bool {
         let route = self.routes.entry(entry.name.as_str().into()).or_default();
         let origin = |view: &&mut View| view.entry.origin == entry.origin;
         let Some(view) = route.views.iter_mut().find(origin) else {
             route.labels = labels(&entry);
-            route.views.push(View { entry, as_of });
+            route.views.push(View { entry, as_of, heard: now });
             return true;
         };
         if entry.version < view.entry.version {
             return false;
         }
+        view.heard = now;
         let fresh = entry.version > view.entry.version;
         if fresh {
             view.as_of = as_of;
@@ -222,10 +224,11 @@
     }
 
     /// Takes in the age and load that a beat gave for one view.
-    pub fn refresh(&mut self, name: &str, origin: &str, as_of: Instant, load: u32) {
+    pub fn refresh(&mut self, name: &str, origin: &str, as_of: Instant, load: u32, now: Instant) {
         let Some(route) = self.routes.get_mut(name) else { return };
         let view = route.views.iter_mut().find(|view| view.entry.origin == *origin);
         let Some(view) = view else { return };
+        view.heard = now;
         if as_of > view.as_of {
             view.as_of = as_of;
             view.entry.load = load;
@@ -235,7 +238,7 @@
     /// Drops views that have been silent for long, and routes without views or requests.
     pub fn forget_silent(&mut self, now: Instant) {
         self.routes.retain(|_, route| {
-            route.views.retain(|view| now.since(view.as_of) < VIEW_KEPT);
+            route.views.retain(|view| now.since(view.heard) < VIEW_KEPT);
             !route.views.is_empty() || route.running > 0
         });
     }
@@ -267,9 +270,7 @@
                     && !wish.tried.contains(name)
             })
             .collect();
-        let own = |route: &Route| {
-            route.newest().is_some_and(|view| *view.entry.zone == *self.zone)
-        };
+        let own = |route: &Route| route.newest().is_some_and(|view| *view.entry.zone == *self.zone);
         let mut near: SmallVec<[(&Name, &Route); 16]> =
             usable.iter().copied().filter(|(_, route)| own(route)).collect();
         if near.is_empty() {
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 
 use displaydoc::Display;
 use serde::{de, Deserialize, Deserializer, Serialize, Serializer};
@@ -58,7 +59,7 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Selector {
-    requirements: SmallVec<[Requirement; 4]>,
+    requirements: Arc<[Requirement]>,
 }
 
 impl Selector {
@@ -71,7 +72,7 @@
         if text.trim().is_empty() {
             return Ok(Selector::default());
         }
-        let mut requirements = SmallVec::new();
+        let mut requirements = Vec::new();
         for (index, part) in split(text).into_iter().enumerate() {
             let part = part.trim();
             if part.is_empty() {
@@ -79,7 +80,7 @@
             }
             requirements.push(parse_requirement(part)?);
         }
-        Ok(Selector { requirements })
+        Ok(Selector { requirements: requirements.into() })
     }
 
     /// Whether all requirements hold for these labels.
@@ -196,8 +197,7 @@
     let list = list.trim().strip_prefix('(').and_then(|list| list.strip_suffix(')'));
     let values: Result<SmallVec<[Name; 2]>, Error> =
         list.ok_or_else(error)?.split(',').map(parse_value).collect();
-    let condition =
-        if negative { Condition::NotIn(values?) } else { Condition::In(values?) };
+    let condition = if negative { Condition::NotIn(values?) } else { Condition::In(values?) };
     Ok(Requirement { key: parse_key(key)?, condition })
 }
 
--- a/crates/core/src/state/links.rs
+++ b/crates/core/src/state/links.rs
@@ -40,8 +40,7 @@
 impl State {
     pub(super) fn link_up(&mut self, now: Instant, hello: Hello, effects: &mut Effects) {
         let peer: Name = hello.daemon.as_str().into();
-        let link =
-            Link { hello, alive: now, revision: 0, ready: false, sources: BTreeMap::new() };
+        let link = Link { hello, alive: now, revision: 0, ready: false, sources: BTreeMap::new() };
         self.links.insert(peer.clone(), link);
         effects.push(Effect::Log(journal::Event::LinkUp { peer: peer.clone() }));
         self.publish_all(now, &peer, effects);
@@ -83,7 +82,7 @@
                     self.heard_entry(now, from, entry, sent_after, effects);
                 }
             }
-            Body::Beat(beat) => self.heard_beat(from, &beat, sent_after),
+            Body::Beat(beat) => self.heard_beat(now, from, &beat, sent_after),
             Body::Forward(forward) => self.forwarded(now, from, forward, effects),
             Body::Answer(answer) => self.answered(now, answer, effects),
             Body::Follow(follow) => self.asked_to_feed(now, from, &follow, effects),
--- a/crates/core/src/state/logs.rs
+++ b/crates/core/src/state/logs.rs
@@ -573,9 +573,10 @@
         answer: message::Answer,
         effects: &mut Effects,
     ) {
-        let relayed = self.pending.get(&answer.ticket).is_some_and(|pending| {
-            matches!(pending.purpose, Purpose::Relay { .. })
-        });
+        let relayed = self
+            .pending
+            .get(&answer.ticket)
+            .is_some_and(|pending| matches!(pending.purpose, Purpose::Relay { .. }));
         if answer.outcome.is_some() || relayed {
             self.resolve(now, answer.ticket, answer.outcome, effects);
             return;
@@ -645,7 +646,9 @@
     /// Daemon that leads a log, if this daemon knows one.
     pub(super) fn leads_log(&self, name: &Name, now: Instant) -> bool {
         let hosted = self.logs.get(name);
-        hosted.is_some_and(|hosted| hosted.replica.role() == Role::Leader && hosted.replica.leads(now))
+        hosted.is_some_and(|hosted| {
+            hosted.replica.role() == Role::Leader && hosted.replica.leads(now)
+        })
     }
 }
 
--- a/crates/core/src/state/members.rs
+++ b/crates/core/src/state/members.rs
@@ -111,7 +111,7 @@
         if *announcement.zone != *self.setup.zone {
             return;
         }
-        let Change::Changed(names) = members.hear(announcement, as_of) else { return };
+        let Change::Changed(names) = members.hear(announcement, as_of, now) else { return };
         for name in names {
             self.refold(now, &name, effects);
         }
@@ -140,7 +140,7 @@
             ..folded.entry
         };
         self.publisher.own.insert(name.clone(), entry.clone());
-        self.routes.hear(entry.clone(), folded.as_of);
+        self.routes.hear(entry.clone(), folded.as_of, now);
         self.after_route_change(now, effects);
         for peer in self.links.keys() {
             let entries = Entries { entries: vec![entry.clone()] };
@@ -166,7 +166,7 @@
             let origin = entry.origin.as_str().into();
             link.sources.insert(entry.handle, Source { name, origin });
         }
-        if self.routes.hear(entry.clone(), as_of) {
+        if self.routes.hear(entry.clone(), as_of, now) {
             self.relay(now, from, entry, as_of, effects);
         }
         self.after_route_change(now, effects);
@@ -195,7 +195,13 @@
         }
     }
 
-    pub(super) fn heard_beat(&mut self, from: &Name, beat: &Beat, sent_after: Instant) {
+    pub(super) fn heard_beat(
+        &mut self,
+        now: Instant,
+        from: &Name,
+        beat: &Beat,
+        sent_after: Instant,
+    ) {
         let Some(link) = self.links.get(from) else { return };
         let mut handle = 0;
         let values = beat.handles.iter().zip(&beat.ages).zip(&beat.loads);
@@ -203,7 +209,8 @@
             handle += step;
             let Some(source) = link.sources.get(&handle) else { continue };
             let age = Duration::from_millis(u64::from(age * BEAT_AGE_MS));
-            self.routes.refresh(&source.name, &source.origin, sent_after.before(age), *load);
+            let as_of = sent_after.before(age);
+            self.routes.refresh(&source.name, &source.origin, as_of, *load, now);
         }
     }
 
@@ -284,7 +291,7 @@
         let origin = self.setup.daemon.clone();
         for name in self.publisher.own.keys() {
             if let Some(folded) = members.fold(name) {
-                self.routes.refresh(name, &origin, folded.as_of, folded.entry.load);
+                self.routes.refresh(name, &origin, folded.as_of, folded.entry.load, now);
             }
         }
     }
--- a/crates/core/src/state/operating.rs
+++ b/crates/core/src/state/operating.rs
@@ -139,7 +139,9 @@
     fn daemons(&self, now: Instant) -> Vec<Daemon> {
         let mut names: Vec<Name> =
             self.setup.peers.iter().map(|peer| peer.daemon.clone()).collect();
-        names.extend(self.links.keys().filter(|name| !names.contains(name)).cloned().collect::<Vec<_>>());
+        names.extend(
+            self.links.keys().filter(|name| !names.contains(name)).cloned().collect::<Vec<_>>(),
+        );
         let daemon = |name: Name| {
             let link = self.links.get(&name);
             let configured = self.zone_of(&name).cloned();
--- a/crates/core/src/state/serving.rs
+++ b/crates/core/src/state/serving.rs
@@ -175,11 +175,8 @@
         if let Err(wait) = self.take_rate(now, &workspace_name, &workspace) {
             return refuse(Reason::RateLimited, Some(wait));
         }
-        let terms = Terms {
-            workspace: workspace_name,
-            share: workspace.share,
-            queue: workspace.queue,
-        };
+        let terms =
+            Terms { workspace: workspace_name, share: workspace.share, queue: workspace.queue };
         Ok(Admitted { workspace, terms, service, target })
     }
 
@@ -195,8 +192,7 @@
         }
         let ready = self.links.values().filter(|link| link.is_live(now) && link.ready).count();
         let rate = f64::from(workspace.rate) / (ready + 1) as f64;
-        let bucket =
-            self.rates.entry(name.clone()).or_insert_with(|| Bucket::full(rate, now));
+        let bucket = self.rates.entry(name.clone()).or_insert_with(|| Bucket::full(rate, now));
         bucket.take(rate, now)
     }
 
@@ -383,21 +379,14 @@
             held: active.claimed,
         };
         self.routes.sent(&route, &active.request.prefixes, now);
-        active.stage =
-            Stage::Running(Running { route, generation, since: now, aborted: false });
+        active.stage = Stage::Running(Running { route, generation, since: now, aborted: false });
         let name = active.name.clone();
         let decision = Decision::Dispatch(dispatch);
         effects.push(Effect::Decide { request: id, name, decision });
         self.count(Counter::Sent, effects);
     }
 
-    pub(super) fn attempt_ended(
-        &mut self,
-        now: Instant,
-        id: u64,
-        end: End,
-        effects: &mut Effects,
-    ) {
+    pub(super) fn attempt_ended(&mut self, now: Instant, id: u64, end: End, effects: &mut Effects) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Stage::Running(running) = active.stage.clone() else { return };
         active.stage = Stage::Queued;
@@ -412,14 +401,7 @@
         self.pump(now, &service, effects);
     }
 
-    fn judge(
-        &mut self,
-        now: Instant,
-        id: u64,
-        end: End,
-        running: &Running,
-        effects: &mut Effects,
-    ) {
+    fn judge(&mut self, now: Instant, id: u64, end: End, running: &Running, effects: &mut Effects) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         active.may_have_run |= !matches!(end, End::NotSent | End::Declined);
         let claimed = active.claimed;
@@ -460,14 +442,7 @@
         }
     }
 
-    fn lost(
-        &mut self,
-        now: Instant,
-        id: u64,
-        lost: Lost,
-        crashed: bool,
-        effects: &mut Effects,
-    ) {
+    fn lost(&mut self, now: Instant, id: u64, lost: Lost, crashed: bool, effects: &mut Effects) {
         let Some(active) = self.requests.get(&id) else { return };
         let (request, vm, attempt) = (active.name.clone(), active.vm.clone(), active.attempts);
         let trial = active.trial;
@@ -495,8 +470,7 @@
         let died = self.trial_deaths.get(route);
         let recent = died.is_some_and(|died| now.since(*died) < TRIAL_BLAME);
         let trying = self.requests.values().any(|other| {
-            let there =
-                matches!(&other.stage, Stage::Running(running) if running.route == *route);
+            let there = matches!(&other.stage, Stage::Running(running) if running.route == *route);
             other.trial && there
         });
         !recent && !trying
@@ -544,14 +518,7 @@
     }
 
     /// Repeats an attempt if the budget, the number of attempts and the deadline allow it.
-    fn retry(
-        &mut self,
-        now: Instant,
-        id: u64,
-        route: &Name,
-        cause: Cause,
-        effects: &mut Effects,
-    ) {
+    fn retry(&mut self, now: Instant, id: u64, route: &Name, cause: Cause, effects: &mut Effects) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         active.tried.push(route.clone());
         let allowed = active.attempts < ATTEMPTS_MAX && now < active.deadline;
@@ -675,13 +642,7 @@
         self.close(id, run, &reason.to_string(), 0, "", effects);
     }
 
-    fn tell_refusal(
-        &mut self,
-        id: u64,
-        name: &Name,
-        refusal: Refusal,
-        effects: &mut Effects,
-    ) {
+    fn tell_refusal(&mut self, id: u64, name: &Name, refusal: Refusal, effects: &mut Effects) {
         let reason = refusal.reason;
         self.count(Counter::Refused(reason), effects);
         let request = name.clone();
@@ -795,9 +756,7 @@
     }
 
     fn ask_trials_again(&mut self, now: Instant, effects: &mut Effects) {
-        let due = |active: &Active| {
-            matches!(active.stage, Stage::Trying(Some(at)) if now >= at)
-        };
+        let due = |active: &Active| matches!(active.stage, Stage::Trying(Some(at)) if now >= at);
         let ids: Vec<u64> =
             self.requests.iter().filter(|(_, a)| due(a)).map(|(id, _)| *id).collect();
         for id in ids {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -154,9 +154,9 @@
             let response = match decision {
                 Decision::Refuse(refusal) => http::problem(&name, &refusal),
                 Decision::Repeat(result) => repeat(result),
-                Decision::Deliver => held.take().unwrap_or_else(|| {
-                    http::problem(&name, &unknown(Reason::Broken))
-                }),
+                Decision::Deliver => {
+                    held.take().unwrap_or_else(|| http::problem(&name, &unknown(Reason::Broken)))
+                }
                 Decision::Dispatch(dispatch) => {
                     let task = Task { callers: self, id, socket, abort: abort.clone() };
                     match task.attempt(&dispatch, &outgoing, stream).await {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -100,7 +100,8 @@
         for log in &settings.logs {
             if let Some(files) = self.open_files(log)? {
                 opened.push(self.describe(log, &files));
-                writers.insert(log.name.clone(), Writer::spawn(log.name.clone(), files, desk.clone()));
+                writers
+                    .insert(log.name.clone(), Writer::spawn(log.name.clone(), files, desk.clone()));
             }
         }
         let mut effects = Vec::new();
--- a/crates/daemon/src/endpoints.rs
+++ b/crates/daemon/src/endpoints.rs
@@ -15,9 +15,9 @@
 use smol::net::TcpStream;
 use smol::Timer;
 
+use crate::clock;
 use crate::http::{self, Handler, Limits, Socket};
 use crate::reactor::Desk;
-use crate::clock;
 
 /// Time for an order to be taken.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -116,11 +116,7 @@
 /// Something that answers requests.
 pub(crate) trait Handler: Clone + Send + Sync + 'static {
     /// Answers one request.
-    fn handle(
-        &self,
-        request: Request,
-        socket: Socket,
-    ) -> impl Future<Output = Response> + Send;
+    fn handle(&self, request: Request, socket: Socket) -> impl Future<Output = Response> + Send;
 
     /// Notes a request that was answered without the handler.
     fn rejected(&self, _reason: Reason) {}
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -56,8 +56,8 @@
         return write!(target, "{time} {level:5} {}", record.args());
     }
     let text = record.args().to_string();
-    if text.starts_with('{') {
-        return write!(target, r#"{{"time":"{time}","level":"{level}",{}"#, &text[1..]);
+    if let Some(fields) = text.strip_prefix('{') {
+        return write!(target, r#"{{"time":"{time}","level":"{level}",{fields}"#);
     }
     let message = serde_json::to_string(&text).unwrap_or_default();
     write!(target, r#"{{"time":"{time}","level":"{level}","message":{message}}}"#)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,8 +19,8 @@
         };
         let socket = UdpSocket::bind("0.0.0.0:0")?;
         socket.set_nonblocking(true)?;
-        let sink = BufferedUdpMetricSink::from(metrics.statsd, socket)
-            .map_err(std::io::Error::other)?;
+        let sink =
+            BufferedUdpMetricSink::from(metrics.statsd, socket).map_err(std::io::Error::other)?;
         let sink = QueuingMetricSink::with_capacity(sink, 65_536);
         Ok(Meter { client: StatsdClient::from_sink(&metrics.prefix, sink) })
     }
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -173,9 +173,10 @@
         for effect in effects.drain(..) {
             match effect {
                 Effect::Send { to, body } => {
-                    let full = self.outlets.get(&to).is_some_and(|outlet| {
-                        outlet.bodies.try_send(body).is_err()
-                    });
+                    let full = self
+                        .outlets
+                        .get(&to)
+                        .is_some_and(|outlet| outlet.bodies.try_send(body).is_err());
                     if full {
                         close(&self.outlets, &to);
                     }
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -93,9 +93,7 @@
                 )
                 .arg(operation()),
         )
-        .subcommand(
-            Command::new("status").about("Shows how the system stands").arg(json_flag()),
-        )
+        .subcommand(Command::new("status").about("Shows how the system stands").arg(json_flag()))
         .subcommand(
             Command::new("explain")
                 .about("Shows what became of one request, from its recorded usage line")
@@ -254,9 +252,8 @@
 
 fn refused(subject: &str, reply: &Reply) -> Failure {
     let findings = reply.body["findings"].as_array();
-    let lines = findings.map(|list| {
-        list.iter().map(|finding| format!("{subject}: {}", text(finding))).collect()
-    });
+    let lines = findings
+        .map(|list| list.iter().map(|finding| format!("{subject}: {}", text(finding))).collect());
     Failure::Refused(lines.unwrap_or_else(|| vec![format!("{subject}: {}", describe(&reply.body))]))
 }
 
@@ -280,8 +277,7 @@
         }
         if began.elapsed() > WAIT_MAX {
             let names: Vec<&str> = behind.iter().map(|daemon| text(&daemon["name"])).collect();
-            let message =
-                format!("revision {revision} is accepted, but not in force on {names:?}");
+            let message = format!("revision {revision} is accepted, but not in force on {names:?}");
             return Err(Failure::Refused(vec![message]));
         }
         Timer::after(WAIT_STEP).await;
@@ -335,9 +331,8 @@
         None => Value::Null,
         Some(selector) => {
             let parsed = Selector::parse(selector);
-            let parsed = parsed.map_err(|error| {
-                Failure::Usage(vec![format!("selector: {error}")])
-            })?;
+            let parsed =
+                parsed.map_err(|error| Failure::Usage(vec![format!("selector: {error}")]))?;
             json!({ "selector": parsed.to_string() })
         }
     };
--- a/crates/operator/src/manifest.rs
+++ b/crates/operator/src/manifest.rs
@@ -79,9 +79,7 @@
         }
     }
     match (kind, name) {
-        (Some(kind), Some(name)) if findings.is_empty() => {
-            Ok(Entry { kind, name, expected, spec })
-        }
+        (Some(kind), Some(name)) if findings.is_empty() => Ok(Entry { kind, name, expected, spec }),
         _ => Err(findings),
     }
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -133,8 +133,7 @@
     for zone in &settings.zones {
         let of_zone = |log: &&Log| log.holds == Holds::Placement && log.zone.as_ref() == Some(zone);
         if settings.logs.iter().filter(of_zone).count() != 1 {
-            let message =
-                format!("needs exactly one log that holds `placement` for zone `{zone}`");
+            let message = format!("needs exactly one log that holds `placement` for zone `{zone}`");
             report.at(&[Step::Key("logs")], message);
         }
     }
@@ -154,12 +153,7 @@
     }
 }
 
-fn check_log_zone(
-    settings: &Settings,
-    log: &Log,
-    here: &[Step<'_>],
-    report: &mut Report<'_, '_>,
-) {
+fn check_log_zone(settings: &Settings, log: &Log, here: &[Step<'_>], report: &mut Report<'_, '_>) {
     match (&log.zone, log.holds) {
         (None, Holds::Placement) => {
             report.at(here, "is missing; name the availability zone of the placements".to_owned());
@@ -195,8 +189,7 @@
 fn check_operators(settings: &Settings, report: &mut Report<'_, '_>) {
     let open = !settings.listen.operators.ip().is_loopback();
     if open && settings.operator_tokens.is_none() {
-        let message =
-            "must be a loopback address unless `operator-tokens` names a file".to_owned();
+        let message = "must be a loopback address unless `operator-tokens` names a file".to_owned();
         report.at(&[Step::Key("listen"), Step::Key("operators")], message);
     }
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -125,7 +125,12 @@
         }
     }
 
-    fn number(&mut self, name: &'static str, default: f64, range: RangeInclusive<f64>) -> Option<f64> {
+    fn number(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        range: RangeInclusive<f64>,
+    ) -> Option<f64> {
         let Some(value) = self.value(name) else { return Some(default) };
         let Value::NumberLit(number) = value else {
             return self.wrong(name, value, "must be a number");
@@ -138,7 +143,12 @@
         parsed
     }
 
-    fn integer(&mut self, name: &'static str, default: u64, range: RangeInclusive<u64>) -> Option<u64> {
+    fn integer(
+        &mut self,
+        name: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
         let Some(value) = self.value(name) else { return Some(default) };
         let Value::NumberLit(number) = value else {
             return self.wrong(name, value, "must be a whole number");
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -117,10 +117,7 @@
             self.appending = Some(opened.map_err(|error| self.error(file, error))?);
         }
         let Some(appending) = &mut self.appending else { return Ok(()) };
-        appending.write_all(bytes).map_err(|error| Error::Io {
-            path: self.path.join(file),
-            error,
-        })
+        appending.write_all(bytes).map_err(|error| Error::Io { path: self.path.join(file), error })
     }
 
     fn truncate(&mut self, file: &str, len: usize) -> Result<(), Error> {
--- a/crates/store/src/tail.rs
+++ b/crates/store/src/tail.rs
@@ -34,9 +34,8 @@
         while offset < bytes.len() {
             match record::read(&bytes, offset) {
                 Read::Whole(payload, next) => {
-                    let batch = Batch::decode(payload).map_err(|_| {
-                        disk.damaged(TAIL, offset, "the content does not decode")
-                    })?;
+                    let batch = Batch::decode(payload)
+                        .map_err(|_| disk.damaged(TAIL, offset, "the content does not decode"))?;
                     tail.take_in(batch);
                     offset = next;
                 }
@@ -62,11 +61,7 @@
     }
 
     /// Appends a batch and syncs it.
-    pub(crate) fn append<Files>(
-        &mut self,
-        disk: &mut Files,
-        writes: &[Write],
-    ) -> Result<(), Error>
+    pub(crate) fn append<Files>(&mut self, disk: &mut Files, writes: &[Write]) -> Result<(), Error>
     where
         Files: Disk,
     {
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -81,7 +81,12 @@
 impl Deployment {
     /// Plans a deployment with this many daemons with and without a disk in each zone. `program`
     /// starts the daemon; its settings file is added as the last argument.
-    pub fn plan(zones: &[&str], disks: usize, diskless: usize, program: Vec<OsString>) -> Deployment {
+    pub fn plan(
+        zones: &[&str],
+        disks: usize,
+        diskless: usize,
+        program: Vec<OsString>,
+    ) -> Deployment {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut daemons = Vec::new();
         for zone in zones {
@@ -313,9 +318,8 @@
 /// Number of routes that take new work.
 pub fn accepting(status: &Value) -> usize {
     let routes = status["routes"].as_array();
-    routes.map_or(0, |routes| {
-        routes.iter().filter(|route| route["standing"] == "accepting").count()
-    })
+    routes
+        .map_or(0, |routes| routes.iter().filter(|route| route["standing"] == "accepting").count())
 }
 
 /// Value of a counter.
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -435,7 +435,8 @@
         Timer::after(Duration::from_millis(prefill)).await;
         let hash = xxh3_64(prompt.as_bytes());
         if body["stream"] == Value::Bool(true) {
-            let tokens = Tokens { run, _slot: slot, hash, next: 0, count: tokens, left: Vec::new() };
+            let tokens =
+                Tokens { run, _slot: slot, hash, next: 0, count: tokens, left: Vec::new() };
             let reader = TokenReader { tokens, timer: None };
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(Body::from_reader(futures_lite::io::BufReader::new(reader), None));
--- a/crates/testkit/src/plain.rs
+++ b/crates/testkit/src/plain.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a plain service whose calls may not be repeated.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,11 +55,8 @@
     pub async fn spawn(config: Config) -> Plain {
         let (listener, address) = server::bind().await;
         let history = History::default();
-        let shared = Shared {
-            history: history.clone(),
-            manner: Arc::default(),
-            delay_ms: Arc::default(),
-        };
+        let shared =
+            Shared { history: history.clone(), manner: Arc::default(), delay_ms: Arc::default() };
         let task = smol::spawn(server::serve(listener, shared.clone()));
         let config = Config { plain: true, ..config };
         let announcer = Some(Engine::announcer(config, address));
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -18,7 +18,11 @@
     /// # Errors
     ///
     /// Returns the system's error.
-    pub fn spawn(program: &[OsString], arguments: &[OsString], log: &Path) -> std::io::Result<Process> {
+    pub fn spawn(
+        program: &[OsString],
+        arguments: &[OsString],
+        log: &Path,
+    ) -> std::io::Result<Process> {
         let log = File::options().create(true).append(true).open(log)?;
         let child = Command::new(&program[0])
             .args(&program[1..])
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -144,9 +144,7 @@
 }
 
 fn objects() -> Value {
-    let workspace = |name: &str, hash: &str| {
-        json!({ "kind": "workspace", "name": name, "spec": { "key-sha256": hash } })
-    };
+    let workspace = |name: &str, hash: &str| json!({ "kind": "workspace", "name": name, "spec": { "key-sha256": hash } });
     json!([
         {
             "kind": "serving-group",
@@ -258,10 +256,15 @@
     deployment
         .wait_for(name, "the repaired group", |status| {
             let zones = status["zones"].as_array();
-            zones.is_some_and(|zones| zones.iter().all(|zone| zone["serving"] == 2))
+            let repaired = |zone: &Value| match zone["zone"] == ZONES[0] {
+                true => zone["serving"] == 2 && zone["failed"] == 1,
+                false => zone["serving"] == 2,
+            };
+            zones.is_some_and(|zones| zones.iter().all(repaired))
         })
         .await;
     let status = deployment.status(name).await;
+    println!("a member of the serving group in {} was killed and replaced by the spare:", ZONES[0]);
     for zone in status["zones"].as_array().into_iter().flatten() {
         println!(
             "{}: group downtime {} ms, stranded {} accelerator-ms",
