Prove the replicated log and its files under crashes, cuts, freezes and lost disks

A daemon that lost its disk was never admitted again: it asked to be fed only when no leader was heard, and the leader's heartbeats to its old identity kept it quiet. 2. Downtime and stranded accelerators count from the last announcement instead of from when a silence is noticed. Conclusion: log and files keep what they acknowledged under the faults that these tests bring about.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -111,7 +111,10 @@
     slow: BTreeMap<Name, Instant>,
     loads: Bucket,
     load_seconds: f64,
-    last: Option<Instant>,
+    /// Moment up to which the downtime of each group is counted.
+    down_since: BTreeMap<Name, Instant>,
+    /// Moment up to which the stranding of each VM is counted.
+    stranded_since: BTreeMap<Name, Instant>,
     downtime_ms: u64,
     stranded_ms: u64,
     shortfall: u32,
@@ -130,7 +133,8 @@
             loads: Bucket::full(f64::from(policy.loads_per_minute) / 60.0, now),
             load_seconds: policy.load_seconds,
             policy,
-            last: None,
+            down_since: BTreeMap::new(),
+            stranded_since: BTreeMap::new(),
             downtime_ms: 0,
             stranded_ms: 0,
             shortfall: 0,
@@ -250,27 +254,34 @@
         Status::Loading
     }
 
-    /// Adds the time since the last look to downtime and stranded accelerators.
+    /// Adds the time for which groups could not serve and accelerators were stranded. A silence
+    /// counts from the last announcement, not from when it was noticed.
     fn account(&mut self, scene: &Scene<'_>, wanted: &[(Name, Group)]) {
-        let last = self.last.replace(scene.now);
-        let Some(last) = last else { return };
-        let passed = scene.now.since(last).as_millis() as u64;
-        let serves = |name: &Name| {
-            scene
-                .placements
-                .group(name)
-                .is_some_and(|placement| !placement.releasing && is_whole(scene, name, placement))
-        };
-        let down = wanted.iter().filter(|(name, _)| !serves(name)).count() as u64;
-        self.downtime_ms += passed * down;
+        let mut down_since = BTreeMap::new();
+        for (name, _) in wanted {
+            let placement = scene.placements.group(name);
+            let serving = placement
+                .filter(|placement| !placement.releasing && is_whole(scene, name, placement));
+            let good_until = serving.and_then(|placement| oldest_word(scene, placement));
+            let since = self.down_since.get(name).copied().unwrap_or(scene.now);
+            if good_until.is_none() {
+                self.downtime_ms += scene.now.since(since).as_millis() as u64;
+            }
+            down_since.insert(name.clone(), good_until.unwrap_or(scene.now));
+        }
+        self.down_since = down_since;
+        let mut stranded_since = BTreeMap::new();
         for (vm, status) in self.statuses(scene) {
-            if matches!(status, Status::Serving | Status::Free) {
-                continue;
+            let Some(endpoint) = scene.members.endpoint(&vm) else { continue };
+            let useful = matches!(status, Status::Serving | Status::Free);
+            let since = self.stranded_since.get(&vm).copied().unwrap_or(scene.now);
+            if !useful {
+                let passed = scene.now.since(since).as_millis() as u64;
+                self.stranded_ms += passed * u64::from(endpoint.announcement.accelerators);
             }
-            let accelerators =
-                scene.members.endpoint(&vm).map_or(0, |e| e.announcement.accelerators);
-            self.stranded_ms += passed * u64::from(accelerators);
+            stranded_since.insert(vm, if useful { endpoint.as_of } else { scene.now });
         }
+        self.stranded_since = stranded_since;
     }
 
     /// Puts a group that has no VMs onto free ones of one fabric domain.
@@ -605,6 +616,12 @@
     })
 }
 
+/// Oldest of the members' announcements.
+fn oldest_word(scene: &Scene<'_>, placement: &Placement) -> Option<Instant> {
+    let seats = placement.members.iter();
+    seats.filter_map(|seat| Some(scene.members.endpoint(&seat.vm)?.as_of)).min()
+}
+
 /// Whether a VM has left a group, or no daemon can still believe that it is in it.
 fn is_out(scene: &Scene<'_>, name: &Name, vm: &str) -> bool {
     let Some(endpoint) = scene.members.endpoint(vm) else { return true };
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -150,6 +150,7 @@
     heard: Instant,
     heard_leader: Option<Instant>,
     deadline: Instant,
+    /// When a leader next sends heartbeats, and a learner next asks to be fed.
     next_heartbeat: Instant,
     sequence: u64,
     synced: u64,
@@ -308,17 +309,16 @@
             }
             return;
         }
+        if !self.is_voter() && now >= self.next_heartbeat {
+            self.next_heartbeat = now + self.timing.election;
+            self.ask_to_join(outputs);
+        }
         if now < self.deadline {
             return;
         }
         self.deadline = now + self.election_timeout(draw);
-        if !self.is_voter() {
-            self.leader = None;
-            self.ask_to_join(outputs);
-            return;
-        }
         self.leader = None;
-        if !self.identity.stands {
+        if !self.identity.stands || !self.is_voter() {
             return;
         }
         self.role = Role::PreCandidate;
--- /dev/null
+++ b/crates/core/tests/replica/main.rs
@@ -0,0 +1,186 @@
+//! The replicated log under kills, lost writes, lost disks, cuts, freezes and unruly networks.
+
+mod net;
+
+use std::time::Duration;
+
+use dotterelhoist_core::replica::message::Voter;
+use dotterelhoist_core::replica::quorum;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+use net::{Fault, Net};
+
+fn voters(weights: &[u32]) -> Vec<Voter> {
+    let voter = |(at, weight): (usize, &u32)| Voter {
+        replica: format!("{at}#0"),
+        daemon: at.to_string(),
+        weight: *weight,
+    };
+    weights.iter().enumerate().map(voter).collect()
+}
+
+fn fault(nodes: usize) -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        3 => (0..nodes, 0..5usize).prop_map(|(node, kept)| Fault::Kill { node, kept }),
+        3 => (0..nodes).prop_map(|node| Fault::Restart { node }),
+        2 => (0..nodes, 100..4000u64).prop_map(|(node, millis)| Fault::Freeze { node, millis }),
+        2 => (1..(1u32 << nodes) - 1).prop_map(|side| Fault::Cut { side }),
+        2 => Just(Fault::Heal),
+    ]
+}
+
+fn schedule(nodes: usize) -> impl Strategy<Value = Vec<(u64, Fault)>> {
+    prop::collection::vec((50..1500u64, fault(nodes)), 0..25)
+}
+
+fn run(weights: &[u32], seed: u64, schedule: Vec<(u64, Fault)>) -> Net {
+    let mut net = Net::new(voters(weights), seed);
+    net.run(Duration::from_millis(2500));
+    for (pause, fault) in schedule {
+        net.run(Duration::from_millis(pause));
+        net.apply(fault);
+    }
+    net.heal_all();
+    net.run(Duration::from_secs(12));
+    net
+}
+
+/// Seed of all cases, so that each run gives the same verdict.
+const SEED: u64 = 20_261_203;
+
+fn config(cases: u32) -> ProptestConfig {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
+    println!("proptest: {cases} cases with seed {SEED}");
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config(96))]
+
+    #[test]
+    fn replica_three_voters(seed in any::<u64>(), schedule in schedule(3)) {
+        run(&[1, 1, 1], seed, schedule).check_end();
+    }
+
+    #[test]
+    fn replica_weighted_voters(seed in any::<u64>(), schedule in schedule(4)) {
+        run(&[2, 2, 1, 1], seed, schedule).check_end();
+    }
+
+    #[test]
+    fn replica_five_voters(seed in any::<u64>(), schedule in schedule(5)) {
+        run(&[1, 1, 1, 1, 1], seed, schedule).check_end();
+    }
+
+    #[test]
+    fn quorum_any_two_meet(weights in prop::collection::vec(1..4u32, 1..7)) {
+        let list = voters(&weights);
+        prop_assert!(quorum::meet(&list, &list));
+    }
+
+    #[test]
+    fn quorum_leaving_and_entering_voter_meet(
+        weights in prop::collection::vec(1..4u32, 2..7),
+        gone in any::<prop::sample::Index>(),
+    ) {
+        let old = voters(&weights);
+        let mut new = old.clone();
+        new.remove(gone.index(old.len()));
+        let brute = brute_meet(&old, &new);
+        prop_assert_eq!(quorum::meet(&old, &new), brute);
+    }
+}
+
+/// Enumerates the quorums of both lists.
+fn brute_meet(old: &[Voter], new: &[Voter]) -> bool {
+    let quorums = |list: &[Voter]| -> Vec<Vec<String>> {
+        let total: u32 = list.iter().map(|voter| voter.weight).sum();
+        (0..1u32 << list.len())
+            .map(|set| {
+                let chosen = list.iter().enumerate().filter(|(at, _)| set & (1 << at) != 0);
+                chosen.map(|(_, voter)| voter.clone()).collect::<Vec<Voter>>()
+            })
+            .filter(|chosen| chosen.iter().map(|v| v.weight).sum::<u32>() * 2 > total)
+            .map(|chosen| chosen.into_iter().map(|voter| voter.replica).collect())
+            .collect()
+    };
+    let new = quorums(new);
+    quorums(old).iter().all(|a| new.iter().all(|b| a.iter().any(|voter| b.contains(voter))))
+}
+
+#[rstest]
+#[case::zone_cut(&[2, 2, 1, 1], 0b0011)]
+#[case::one_lost_without_cut(&[2, 2, 1, 1], 0b1101)]
+fn replica_zone_survives(#[case] weights: &[u32], #[case] alive: u32) {
+    let mut net = Net::new(voters(weights), 7);
+    net.run(Duration::from_secs(3));
+    let before = net.acknowledged();
+    net.apply(Fault::Cut { side: alive });
+    net.run(Duration::from_secs(8));
+    assert!(net.acknowledged() > before + 10, "the side with a quorum goes on");
+    net.heal_all();
+    net.run(Duration::from_secs(12));
+    net.check_end();
+}
+
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[case::three(3)]
+fn replica_lost_disk_returns_as_learner(#[case] seed: u64) {
+    let mut net = Net::new(voters(&[1, 1, 1]), seed);
+    net.run(Duration::from_secs(3));
+    net.apply(Fault::LoseDisk { node: (seed % 3) as usize });
+    net.run(Duration::from_secs(1));
+    net.apply(Fault::Restart { node: (seed % 3) as usize });
+    net.run(Duration::from_secs(15));
+    let listed = net.voters();
+    assert_eq!(listed.len(), 3);
+    assert!(listed.contains(&format!("{}#1", seed % 3)), "{listed:?}");
+    let before = net.acknowledged();
+    net.apply(Fault::Kill { node: ((seed + 1) % 3) as usize, kept: 0 });
+    net.run(Duration::from_secs(8));
+    assert!(net.acknowledged() > before + 10, "the returned replica counts for a quorum");
+    net.heal_all();
+    net.run(Duration::from_secs(12));
+    net.check_end();
+}
+
+/// A replica with an empty disk must not make up a quorum with one that lacks an entry: here the
+/// entry is on the leader and on the replica whose disk is then lost, and the leader is cut off.
+#[test]
+fn replica_lost_disk_can_not_undo_an_acknowledged_entry() {
+    for seed in 0..40 {
+        let mut net = Net::new(voters(&[1, 1, 1]), seed);
+        net.run(Duration::from_secs(3));
+        let leader = net.run_until_led();
+        let holder = (leader + 1) % 3;
+        let lacking = (leader + 2) % 3;
+        net.apply(Fault::Cut { side: (1 << leader) | (1 << holder) });
+        net.run(Duration::from_millis(600));
+        net.apply(Fault::LoseDisk { node: holder });
+        net.apply(Fault::Cut { side: (1 << holder) | (1 << lacking) });
+        net.apply(Fault::Restart { node: holder });
+        net.run(Duration::from_secs(6));
+        net.heal_all();
+        net.run(Duration::from_secs(12));
+        net.check_end();
+    }
+}
+
+#[test]
+fn replica_frozen_leader_has_no_lease_when_it_wakes() {
+    let mut net = Net::new(voters(&[1, 1, 1]), 11);
+    net.run(Duration::from_secs(3));
+    let leader = net.run_until_led();
+    net.apply(Fault::Freeze { node: leader, millis: 5000 });
+    net.run(Duration::from_millis(4900));
+    let other = net.leader().expect("another leader");
+    assert_ne!(leader, other);
+    assert!(!net.leads(leader), "the frozen one has lost its lease by itself");
+    net.run(Duration::from_secs(3));
+    net.check_end();
+}
--- a/crates/store/src/tail.rs
+++ b/crates/store/src/tail.rs
@@ -105,13 +105,15 @@
         }
     }
 
-    /// Drops the entries that a snapshot covers, and all if they belong to another history.
+    /// Drops the entries that a snapshot covers, and all if they belong to another history. Entries
+    /// are contiguous, so if the one at the snapshot's index is not there, what follows was written
+    /// behind this snapshot.
     fn cover(&mut self, snapshot: &Install) {
         if snapshot.index == 0 {
             return;
         }
         let agrees =
-            self.entries.get(&snapshot.index).is_some_and(|entry| entry.term == snapshot.term);
+            self.entries.get(&snapshot.index).is_none_or(|entry| entry.term == snapshot.term);
         let rest = self.entries.split_off(&(snapshot.index + 1));
         self.entries = if agrees { rest } else { BTreeMap::new() };
     }
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -203,8 +203,8 @@
 }
 
 async fn send_one(number: usize, callers: &[SocketAddr]) -> Outcome {
-    let booking = number % (REQUESTS / BOOKINGS) == 0;
-    let stream = number % 2 == 0;
+    let booking = number.is_multiple_of(REQUESTS / BOOKINGS);
+    let stream = number.is_multiple_of(2);
     let prompt = format!("headcount of tent {number}");
     let key = KEYS[number % 2];
     let call_made = if booking {
