Let the damage property make its own records instead of rejecting cases

Ruled out: a fault of the store; no case had failed. Change: each case appends two batches, so that none has to be rejected; the check is the same.

--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -226,11 +226,12 @@
     fn store_damage_is_refused(batches in batches(), at in any::<prop::sample::Index>()) {
         let disk = Fake::new(usize::MAX, 0);
         let (mut store, _) = Store::open(disk.clone()).expect("an empty disk opens");
-        for batch in &batches {
+        let ballot = |term| vec![Write::Ballot { term, vote: None }];
+        for batch in batches.iter().chain(&[ballot(50), ballot(51)]) {
             store.write(batch).expect("power is on");
         }
         let tail = disk.platter.lock().expect("no panic").cached.get("tail").cloned();
-        let Some(tail) = tail else { return Ok(()) };
+        let tail = tail.expect("a tail");
         let mut lengths = Vec::new();
         let mut offset = 0;
         while offset < tail.len() {
@@ -238,7 +239,6 @@
             offset += 12 + length as usize;
             lengths.push(offset);
         }
-        prop_assume!(lengths.len() > 1);
         let last = lengths[lengths.len() - 2];
         let position = at.index(last);
         disk.platter.lock().expect("no panic").cached.get_mut("tail").expect("a tail")[position]
