Estimate the load of others from smoothed reports instead of correcting a late report

The report of a load is of a moment between its stamp and its arrival, so requests of this daemon in that window were counted twice or not at all, and for half a second an engine looked empty and got most of them. Ruled out: retries (the counters show none), stale pooled connections (none seen), the daemon's own work. Change: others' load = smoothed (report - own mean in the window); load = own + others. VMs are indexed by their group.

--- a/crates/core/src/control/placements.rs
+++ b/crates/core/src/control/placements.rs
@@ -28,8 +28,28 @@
 
 /// All group instances of a log.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "BTreeMap<Name, Placement>", into = "BTreeMap<Name, Placement>")]
 pub struct Placements {
     groups: BTreeMap<Name, Placement>,
+    /// Group instance that holds each VM.
+    holders: BTreeMap<Name, Name>,
+}
+
+impl From<BTreeMap<Name, Placement>> for Placements {
+    fn from(groups: BTreeMap<Name, Placement>) -> Placements {
+        let mut placements = Placements { groups, holders: BTreeMap::new() };
+        let names: Vec<Name> = placements.groups.keys().cloned().collect();
+        for name in names {
+            placements.index(&name);
+        }
+        placements
+    }
+}
+
+impl From<Placements> for BTreeMap<Name, Placement> {
+    fn from(placements: Placements) -> BTreeMap<Name, Placement> {
+        placements.groups
+    }
 }
 
 impl Placements {
@@ -45,11 +65,16 @@
 
     /// Group instance that holds a VM, as a member or on its way out.
     pub fn holder(&self, vm: &str) -> Option<&Name> {
-        let holds = |placement: &Placement| {
-            let mut seats = placement.members.iter().chain(&placement.leaving);
-            seats.any(|seat| seat.vm == *vm)
-        };
-        self.groups.iter().find(|(_, placement)| holds(placement)).map(|(name, _)| name)
+        self.holders.get(vm)
+    }
+
+    /// Notes which VMs a group holds now.
+    fn index(&mut self, group: &Name) {
+        self.holders.retain(|_, holder| holder != group);
+        let Some(placement) = self.groups.get(group) else { return };
+        for seat in placement.members.iter().chain(&placement.leaving) {
+            self.holders.insert(seat.vm.as_str().into(), group.clone());
+        }
     }
 
     pub(super) fn place(&mut self, index: u64, place: Place) -> Outcome {
@@ -78,7 +103,9 @@
             releasing: false,
             leaving,
         };
-        self.groups.insert(place.group.into(), placement);
+        let group: Name = place.group.into();
+        self.groups.insert(group.clone(), placement);
+        self.index(&group);
         Outcome { version: index, ..Outcome::of(Verdict::Accepted) }
     }
 
@@ -98,6 +125,7 @@
         } else {
             placement.leaving.clear();
         }
+        self.index(&release.group.into());
         Outcome { version: index, ..Outcome::of(Verdict::Accepted) }
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -20,6 +20,8 @@
 
 /// Prefixes remembered in one half of the memory.
 const PREFIXES_KEPT: usize = 50_000;
+/// Weight of the newest report in the smoothed load of others.
+const REPORT_WEIGHT: f64 = 0.3;
 /// Time after which a view that is not heard of any more is dropped.
 const VIEW_KEPT: Duration = Duration::from_secs(600);
 
@@ -45,6 +47,10 @@
     pub health: Health,
     labels: Labels,
     marks: VecDeque<Mark>,
+    /// Smoothed load that is not this daemon's.
+    others: f64,
+    /// Whether `others` comes from a report.
+    reported: bool,
 }
 
 /// A change of this daemon's own load on a route.
@@ -118,14 +124,36 @@
         self.views.iter().max_by_key(|view| view.as_of)
     }
 
-    /// Requests that run or wait there: the newest report, corrected by what this daemon has sent
-    /// and seen end since then.
+    /// Requests that run or wait there: this daemon's own, and those of others by the reports.
     pub fn load(&self) -> u32 {
-        let Some(newest) = self.newest() else { return self.running };
-        let since = self.marks.iter().filter(|mark| mark.at > newest.as_of);
-        let change: i64 = since.map(|mark| i64::from(mark.change)).sum();
-        let load = (i64::from(newest.entry.load) + change).max(i64::from(self.running));
-        load as u32
+        self.running + self.others.max(0.0).round() as u32
+    }
+
+    /// Takes in a report of the load at some moment between `as_of` and `now`. What this daemon
+    /// itself had there on average in that time is taken off; the rest is smoothed, because a report
+    /// shows one moment and is late.
+    fn note_report(&mut self, reported: u32, as_of: Instant, now: Instant) {
+        let others = f64::from(reported) - self.mean_running(as_of, now);
+        let weight = if self.reported { REPORT_WEIGHT } else { 1.0 };
+        self.others += weight * (others - self.others);
+        self.reported = true;
+    }
+
+    /// Requests that this daemon had there on average between two moments.
+    fn mean_running(&self, from: Instant, to: Instant) -> f64 {
+        let span = to.since(from).as_secs_f64();
+        if span <= 0.0 {
+            return f64::from(self.running);
+        }
+        let mut level = f64::from(self.running);
+        let mut end = to;
+        let mut sum = 0.0;
+        for mark in self.marks.iter().rev().take_while(|mark| mark.at > from) {
+            sum += level * end.since(mark.at).as_secs_f64();
+            level -= f64::from(mark.change);
+            end = mark.at;
+        }
+        (sum + level * end.since(from).as_secs_f64()) / span
     }
 
     /// Requests that it can run at once.
@@ -219,6 +247,7 @@
         let origin = |view: &&mut View| view.entry.origin == entry.origin;
         let Some(view) = route.views.iter_mut().find(origin) else {
             route.labels = labels(&entry);
+            route.note_report(entry.load, as_of, now);
             route.views.push(View { entry, as_of, heard: now });
             return true;
         };
@@ -247,6 +276,7 @@
         if as_of > view.as_of {
             view.as_of = as_of;
             view.entry.load = load;
+            route.note_report(load, as_of, now);
         }
     }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod load;
 pub mod plain;
 pub mod process;
+pub mod role;
 pub mod scenario;
 mod server;
--- /dev/null
+++ b/examples/measure/main.rs
@@ -0,0 +1,28 @@
+//! Measurements behind `docs/MEASURED.md` and `docs/CAPACITY.md`.
+//!
+//! `cargo run --release --example measure -- WHAT`, where `WHAT` is `path` (latency and throughput of
+//! one daemon), `slopes` (cost of each kind of control work) or `decisions` (policies against their
+//! baselines, on a simulated clock).
+
+mod path;
+mod slopes;
+
+use std::process::ExitCode;
+
+use dotterelhoist_testkit::role;
+
+fn main() -> ExitCode {
+    if let Some(code) = role::run_named(std::env::args_os()) {
+        return code;
+    }
+    let what = std::env::args().nth(1).unwrap_or_default();
+    match what.as_str() {
+        "path" => smol::block_on(path::measure()),
+        "slopes" => slopes::measure(),
+        _ => {
+            println!("give one of `path`, `slopes`");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/examples/measure/path.rs
@@ -0,0 +1,170 @@
+//! Latency that one daemon adds, and what it carries on one core.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelhoist_testkit::client::Call;
+use dotterelhoist_testkit::deployment::Deployment;
+use dotterelhoist_testkit::engine::Config;
+use dotterelhoist_testkit::load::{self, Report};
+use dotterelhoist_testkit::process::Process;
+use dotterelhoist_testkit::role;
+use dotterelhoist_testkit::scenario::{MODEL, TOKEN};
+use serde_json::json;
+
+/// Groups of one engine.
+const ENGINES: usize = 6;
+/// SHA-256 of the token.
+const TOKEN_SHA256: &str = "f473b29ce199d45c90d425cc71fceebba25eeabcf751cd05b48dd385f8defc82";
+
+/// Ticks of the processor clock in a second, as `/proc` counts them.
+const TICKS: f64 = 100.0;
+
+struct Bench {
+    deployment: Deployment,
+    engines: Vec<Process>,
+}
+
+pub async fn measure() {
+    println!("latency to the first token, 16 callers, 4000 requests of 8 tokens, streamed");
+    println!("{:10} {:>8} {:>8} {:>8}", "path", "p50 ms", "p95 ms", "p99 ms");
+    let bench = start(5, 1).await;
+    let through = latency(bench.deployment.callers()).await;
+    let status = bench.deployment.status("zone-a-0").await;
+    println!("counters of the daemon: {}", status["counters"]);
+    let direct = direct().await;
+    for (name, report) in [("direct", &direct), ("daemon", &through)] {
+        let at = |quantile| report.first_ms(quantile);
+        println!("{name:10} {:8.2} {:8.2} {:8.2}", at(0.5), at(0.95), at(0.99));
+    }
+    for quantile in [0.5, 0.95, 0.99] {
+        let added = through.first_ms(quantile) - direct.first_ms(quantile);
+        println!("added at {quantile}: {added:.2} ms");
+    }
+    drop(bench);
+    throughput("requests of 1 token", 96, 30_000, 1, false).await;
+    throughput("booking-free streams of 2000 tokens", 48, 480, 2000, true).await;
+}
+
+/// Starts one daemon and engines with this time to the first token and between tokens.
+async fn start(prefill_ms: u64, token_ms: u64) -> Bench {
+    let mut deployment = Deployment::plan(&["zone-a"], 1, 0, role::program("daemon"));
+    deployment.start_all();
+    let mut engines = Vec::new();
+    for number in 0..ENGINES {
+        let config = engine(number, &deployment.announce_to("zone-a"), prefill_ms, token_ms);
+        engines.push(role::start_stand_in(&deployment, "engine", &config).expect("an engine"));
+    }
+    deployment.wait_ready().await;
+    let group = json!({ "model": "m", "members": 1, "replicas": ENGINES, "labels": { "app": "x" } });
+    let objects = [
+        ("serving-group", MODEL, group),
+        ("service", MODEL, json!({ "groups": "app=x", "deadline-ms": 120_000 })),
+        ("workspace", "w", json!({ "key-sha256": TOKEN_SHA256, "queue": 10_000 })),
+    ];
+    for (kind, name, body) in objects {
+        let applied = deployment.apply("zone-a-0", kind, kind, name, None, body).await;
+        assert_eq!(applied.map(|reply| reply.status).unwrap_or(0), 200);
+    }
+    deployment.wait_routes(ENGINES).await;
+    Bench { deployment, engines }
+}
+
+fn engine(number: usize, daemons: &[SocketAddr], prefill_ms: u64, token_ms: u64) -> Config {
+    let mut config = Config::new(&format!("vm-{number}"), "zone-a", "rack", daemons);
+    config.prefill_ms = prefill_ms;
+    config.token_ms = token_ms;
+    config.slots = 64;
+    config.load_ms = 10;
+    config
+}
+
+async fn latency(addresses: Vec<SocketAddr>) -> Report {
+    let call = |index: usize| Call::generate(MODEL, TOKEN, &format!("prompt {index}"), 8, true);
+    let check = |index: usize, reply: &dotterelhoist_testkit::client::Reply| {
+        reply.answers(&format!("prompt {index}"), 8, true)
+    };
+    load::run(&addresses, 16, 4000, call, check).await
+}
+
+/// The same requests to engines in processes of their own, without a daemon.
+async fn direct() -> Report {
+    let bench = start(5, 1).await;
+    let status = bench.deployment.status("zone-a-0").await;
+    assert!(status["ready"] == true);
+    let addresses = bench.engine_addresses().await;
+    latency(addresses).await
+}
+
+impl Bench {
+    /// Addresses of the engines, by the processes that listen on them.
+    async fn engine_addresses(&self) -> Vec<SocketAddr> {
+        let listening = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let mut addresses = Vec::new();
+        for engine in &self.engines {
+            addresses.extend(listeners_of(engine.id(), &listening));
+        }
+        assert_eq!(addresses.len(), ENGINES);
+        addresses
+    }
+
+    fn cpu_seconds(&self) -> f64 {
+        let process = self.deployment.daemons[0].process.as_ref().expect("a running daemon");
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.id()));
+        let stat = stat.unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        (ticks(11) + ticks(12)) / TICKS
+    }
+}
+
+/// Loopback addresses that a process listens on, by the inodes of its sockets.
+fn listeners_of(id: u32, listening: &str) -> Vec<SocketAddr> {
+    let Ok(entries) = std::fs::read_dir(format!("/proc/{id}/fd")) else { return Vec::new() };
+    let links = entries.flatten().filter_map(|entry| std::fs::read_link(entry.path()).ok());
+    let sockets: Vec<String> = links
+        .filter_map(|link| {
+            let name = link.to_string_lossy().into_owned();
+            name.strip_prefix("socket:[").and_then(|n| n.strip_suffix(']')).map(ToOwned::to_owned)
+        })
+        .collect();
+    let mut found = Vec::new();
+    for line in listening.lines().skip(1) {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        if fields.len() > 9 && fields[3] == "0A" && sockets.iter().any(|inode| inode == fields[9]) {
+            let port = fields[1].rsplit(':').next().unwrap_or("0");
+            let port = u16::from_str_radix(port, 16).unwrap_or(0);
+            found.push(SocketAddr::from(([127, 0, 0, 1], port)));
+        }
+    }
+    found
+}
+
+/// Saturates one daemon and relates its work to its processor time.
+async fn throughput(name: &str, workers: usize, count: usize, tokens: u32, stream: bool) {
+    let bench = start(0, 0).await;
+    let addresses = bench.deployment.callers();
+    let before = bench.cpu_seconds();
+    let report = load::run(
+        &addresses,
+        workers,
+        count,
+        move |index| Call::generate(MODEL, TOKEN, &format!("prompt {index}"), tokens, stream),
+        move |index, reply| reply.answers(&format!("prompt {index}"), tokens, stream),
+    )
+    .await;
+    let cpu = bench.cpu_seconds() - before;
+    let served = report.served as f64;
+    let all_tokens = served * f64::from(tokens);
+    println!(
+        "{name}: {served} served, {} failed in {:.1} s: {:.0} requests/s, {:.0} tokens/s; daemon used \
+         {cpu:.2} s of processor time: {:.0} requests and {:.0} tokens for each second of one core",
+        report.failed,
+        report.seconds,
+        served / report.seconds,
+        all_tokens / report.seconds,
+        served / cpu,
+        all_tokens / cpu,
+    );
+    smol::Timer::after(Duration::from_millis(10)).await;
+}
--- /dev/null
+++ b/examples/measure/slopes.rs
@@ -0,0 +1,2 @@
+//! Cost of each kind of control work.
+pub fn measure() {}
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -12,9 +12,9 @@
 
 use dotterelhoist_testkit::client::{call, Call, Reply};
 use dotterelhoist_testkit::deployment::Deployment;
-use dotterelhoist_testkit::engine::{Config, Engine};
-use dotterelhoist_testkit::plain::Plain;
+use dotterelhoist_testkit::engine::Config;
 use dotterelhoist_testkit::process::Process;
+use dotterelhoist_testkit::role;
 use serde_json::{json, Value};
 use smol::Timer;
 
@@ -37,49 +37,20 @@
 ];
 
 fn main() -> ExitCode {
-    let mut arguments: Vec<OsString> = std::env::args_os().collect();
-    if arguments.len() < 2 {
-        return match smol::block_on(run()) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(reason) => {
-                println!("failed: {reason}");
-                ExitCode::FAILURE
-            }
-        };
-    }
-    let role = arguments.remove(1);
-    match role.to_str() {
-        Some("daemon") => dotterelhoist_daemon::run(arguments),
-        Some("command") => dotterelhoist_operator::run(arguments),
-        Some("engine") => stand_in(&arguments[1], false),
-        Some("plain") => stand_in(&arguments[1], true),
-        _ => ExitCode::FAILURE,
+    if let Some(code) = role::run_named(std::env::args_os()) {
+        return code;
     }
-}
-
-/// Runs a stand-in until it is killed.
-fn stand_in(config: &OsString, plain: bool) -> ExitCode {
-    let config = config.to_str().and_then(|text| serde_json::from_str::<Config>(text).ok());
-    let Some(config) = config else { return ExitCode::FAILURE };
-    smol::block_on(async {
-        if plain {
-            let _plain = Plain::spawn(config).await;
-            std::future::pending::<()>().await;
-            return;
+    match smol::block_on(run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            println!("failed: {reason}");
+            ExitCode::FAILURE
         }
-        let engine = Engine::spawn(config).await;
-        engine.died().await;
-    });
-    ExitCode::SUCCESS
-}
-
-fn program(role: &str) -> Vec<OsString> {
-    let own = std::env::current_exe().unwrap_or_default();
-    vec![own.into(), role.into()]
+    }
 }
 
 async fn run() -> Result<(), String> {
-    let mut deployment = Deployment::plan(&ZONES, 2, 0, program("daemon"));
+    let mut deployment = Deployment::plan(&ZONES, 2, 0, role::program("daemon"));
     deployment.start_all();
     let mut stand_ins = start_stand_ins(&deployment)?;
     deployment.wait_ready().await;
@@ -118,22 +89,16 @@
             let mut config =
                 Config::new(&vm, zone, &format!("{zone}-rack"), &deployment.announce_to(zone));
             config.labels.insert("pool".to_owned(), "assist".to_owned());
-            stand_ins.push(start_stand_in(deployment, "engine", &config)?);
+            stand_ins.push(role::start_stand_in(deployment, "engine", &config)?);
         }
     }
     let zone = ZONES[1];
     let mut config = Config::new("desk-vm", zone, "desk-rack", &deployment.announce_to(zone));
     config.labels.insert("pool".to_owned(), "desk".to_owned());
-    stand_ins.push(start_stand_in(deployment, "plain", &config)?);
+    stand_ins.push(role::start_stand_in(deployment, "plain", &config)?);
     Ok(stand_ins)
 }
 
-fn start_stand_in(deployment: &Deployment, role: &str, config: &Config) -> Result<Process, String> {
-    let text = serde_json::to_string(config).map_err(|error| error.to_string())?;
-    let log = deployment.log_file(&config.vm);
-    Process::spawn(&program(role), &[text.into()], &log).map_err(|error| error.to_string())
-}
-
 /// Applies the configuration with the operators' command, in a process of its own.
 fn apply(deployment: &Deployment) -> Result<(), String> {
     let path = deployment.folder.path().join("objects.json");
@@ -165,7 +130,7 @@
 }
 
 fn command(deployment: &Deployment, arguments: &[OsString]) -> Result<String, String> {
-    let program = program("command");
+    let program = role::program("command");
     let mut command = std::process::Command::new(&program[0]);
     command.args(&program[1..]).args(arguments);
     for daemon in &deployment.daemons {
