--- /dev/null
+++ b/crates/core/tests/decisions.rs
@@ -0,0 +1,161 @@
+//! Bounds that the decisions keep: shares, deadlines, retries, repairs.
+
+use std::time::Duration;
+
+use dotterelhoist_core::admit::{Queue, Refusal, Terms, Waiting};
+use dotterelhoist_core::clock::Instant;
+use dotterelhoist_core::policy::Policy;
+use dotterelhoist_core::repair::{decide, Action, Situation};
+use dotterelhoist_core::retry::{Budget, Health};
+use rstest::rstest;
+
+fn terms(workspace: &str, share: u32) -> Terms {
+    Terms { workspace: workspace.into(), share, queue: 1000 }
+}
+
+fn waiting(request: u64, priority: u8, deadline: u64) -> Waiting {
+    Waiting { request, cost: 1.0, deadline: Instant::from_millis(deadline), priority }
+}
+
+/// A workspace that sends ten times its share takes nothing from another one.
+#[rstest]
+#[case::equal(1, 1)]
+#[case::three_to_one(3, 1)]
+fn queue_starts_follow_shares(#[case] a: u32, #[case] b: u32) {
+    let mut queue = Queue::default();
+    let mut next = 0;
+    let mut started = [0u32; 2];
+    for round in 0..4000u64 {
+        let now = Instant::from_millis(1_000_000 + round * 10);
+        for _ in 0..10 {
+            next += 2;
+            queue.push(&terms("greedy", a), waiting(next, 5, 9_000_000), now).ok();
+        }
+        next += 2;
+        queue.push(&terms("modest", b), waiting(next + 1, 5, 9_000_000), now).ok();
+        if let Some(waiting) = queue.start(now) {
+            started[waiting.request as usize % 2] += 1;
+        }
+    }
+    let wanted = 4000.0 * f64::from(b) / f64::from(a + b);
+    let got = f64::from(started[1]);
+    assert!((got - wanted).abs() <= wanted * 0.02, "{got} of {wanted}");
+}
+
+#[test]
+fn queue_priority_orders_within_a_workspace() {
+    let mut queue = Queue::default();
+    let now = Instant::from_millis(1_000_000);
+    for (request, priority) in [(1, 5), (2, 1), (3, 9), (4, 1)] {
+        let pushed = queue.push(&terms("w", 1), waiting(request, priority, 9_000_000), now);
+        assert_eq!(pushed, Ok(()));
+    }
+    let order: Vec<u64> = (0..4).filter_map(|_| queue.start(now)).map(|w| w.request).collect();
+    assert_eq!(order, [2, 4, 1, 3]);
+}
+
+/// What can't be finished in time is refused at once, with a time to come back.
+#[test]
+fn queue_hopeless_request_is_refused_at_once() {
+    let mut queue = Queue::default();
+    let mut now = 1_000_000;
+    for request in 0..400 {
+        let pushed = queue.push(
+            &terms("w", 1),
+            waiting(request, 5, now + 100_000),
+            Instant::from_millis(now),
+        );
+        assert_eq!(pushed, Ok(()));
+        if request % 4 == 0 {
+            queue.start(Instant::from_millis(now));
+        }
+        now += 25;
+    }
+    let late = waiting(1000, 5, now + 2000);
+    let refused = queue.push(&terms("w", 1), late, Instant::from_millis(now));
+    let Err(Refusal::TooLate(wait)) = refused else { panic!("{refused:?}") };
+    assert!(wait > Duration::from_secs(10), "300 wait, ten start a second: {wait:?}");
+}
+
+#[test]
+fn queue_waiting_request_is_given_up_before_its_deadline() {
+    let mut queue = Queue::default();
+    let now = Instant::from_millis(1_000_000);
+    queue.finished(Duration::from_millis(800));
+    assert_eq!(queue.push(&terms("w", 1), waiting(1, 5, 1_002_000), now), Ok(()));
+    assert_eq!(queue.expire(Instant::from_millis(1_001_100)), Vec::<u64>::new());
+    assert_eq!(queue.expire(Instant::from_millis(1_001_300)), [1]);
+    assert!(queue.is_empty());
+}
+
+/// Whatever fails, retries stay below a tenth of the requests.
+#[test]
+fn budget_bounds_retries() {
+    let mut budget = Budget::new(0.1);
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.deposit();
+        for _ in 0..3 {
+            retries += u32::from(budget.withdraw());
+        }
+    }
+    assert!(retries <= 1000, "{retries} retries of 10000 requests");
+}
+
+#[test]
+fn health_failing_route_is_left_alone_ever_longer() {
+    let mut health = Health::default();
+    let mut now = Instant::from_millis(1_000_000);
+    let mut last = Duration::ZERO;
+    for _ in 0..4 {
+        assert!(health.failed(now));
+        let mut ejected = Duration::ZERO;
+        while health.is_ejected(now) {
+            now = now + Duration::from_millis(100);
+            ejected += Duration::from_millis(100);
+        }
+        assert!(ejected > last);
+        last = ejected;
+        assert!(health.admits(now, 0) && !health.admits(now, 1));
+        health.sent();
+        assert!(!health.admits(now, 0), "one trial at a time");
+    }
+    health.succeeded();
+    assert!(health.admits(now, 5));
+}
+
+fn situation(silence: u64, spares: bool, elsewhere: bool) -> Situation {
+    Situation {
+        silence: Duration::from_secs(silence),
+        missing: 1,
+        idle_accelerators: 56,
+        lost_for_good: false,
+        spares,
+        elsewhere,
+        load_delay: 0.0,
+    }
+}
+
+/// Crescent weighs downtime, Veldhout stranded accelerators.
+#[rstest]
+#[case::crescent_waits_for_a_pause(1.0, 0.002, situation(3, true, false), Action::Wait)]
+#[case::crescent_takes_a_spare(1.0, 0.002, situation(40, true, false), Action::Replace)]
+#[case::crescent_moves(1.0, 0.002, situation(40, false, true), Action::Reform)]
+#[case::crescent_holds_on_without_spares(1.0, 0.002, situation(10, false, false), Action::Wait)]
+#[case::veldhout_frees_the_rest_sooner(0.2, 0.02, situation(16, false, false), Action::Shrink)]
+fn repair_weighs(
+    #[case] downtime_weight: f64,
+    #[case] stranded_weight: f64,
+    #[case] situation: Situation,
+    #[case] expected: Action,
+) {
+    let policy =
+        Policy { downtime_weight, stranded_weight, load_seconds: 30.0, ..Policy::default() };
+    assert_eq!(decide(&situation, &policy), expected);
+}
+
+#[test]
+fn repair_known_loss_is_not_waited_for() {
+    let known = Situation { lost_for_good: true, ..situation(2, true, false) };
+    assert_eq!(decide(&known, &Policy::default()), Action::Replace);
+}
--- a/crates/core/tests/replica/main.rs
+++ b/crates/core/tests/replica/main.rs
@@ -201,9 +201,12 @@
         let mut net = Net::new(voters(&[1, 1, 1]), seed);
         net.run(Duration::from_secs(3));
         let leader = net.run_until_led();
+        net.quiet = true;
+        net.run(Duration::from_secs(2));
         net.apply(Fault::Part { a: leader, b: (leader + 1) % 3 });
         net.run(Duration::from_secs(10));
         assert_eq!(net.leader(), Some(leader));
+        net.quiet = false;
         net.heal_all();
         net.run(Duration::from_secs(5));
         net.check_end();
--- a/crates/core/tests/replica/net.rs
+++ b/crates/core/tests/replica/net.rs
@@ -66,6 +66,8 @@
     parted: Vec<(usize, usize)>,
     command: u64,
     committed: BTreeMap<u64, Entry>,
+    /// Whether nothing is proposed.
+    pub quiet: bool,
     acknowledged: Vec<u64>,
     leaders: BTreeMap<u64, usize>,
 }
@@ -86,6 +88,7 @@
             parted: Vec::new(),
             command: 0,
             committed: BTreeMap::new(),
+            quiet: false,
             acknowledged: Vec::new(),
             leaders: BTreeMap::new(),
             founders,
@@ -241,6 +244,9 @@
             }
             Happening::Propose { node } => {
                 self.later(PROPOSE, Happening::Propose { node });
+                if self.quiet {
+                    return;
+                }
                 self.command += 1;
                 let command = self.command;
                 let node = &mut self.nodes[node];
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,9 +4,11 @@
 //! one daemon), `idle` (whole daemons without requests), `slopes` (cost of each kind of control work) or `decisions` (policies against their
 //! baselines, on a simulated clock).
 
+mod decisions;
 mod idle;
 mod path;
 mod slopes;
+mod solo;
 
 use std::process::ExitCode;
 
@@ -20,9 +22,10 @@
     match what.as_str() {
         "path" => smol::block_on(path::measure()),
         "idle" => smol::block_on(idle::measure()),
+        "decisions" => decisions::measure(),
         "slopes" => slopes::measure(),
         _ => {
-            println!("give one of `path`, `idle`, `slopes`");
+            println!("give one of `path`, `idle`, `slopes`, `decisions`");
             return ExitCode::FAILURE;
         }
     }
