--- a/examples/measure/decisions/retries.rs
+++ b/examples/measure/decisions/retries.rs
@@ -44,17 +44,17 @@
     while solo.now < fails + SECONDS * 1000 {
         solo.now += 1;
         let counted = solo.now >= fails;
-        if (solo.now - begin) % (1000 / RATE) == 0 {
+        if (solo.now - begin).is_multiple_of(1000 / RATE) {
             id += 1;
             requests += f64::from(u8::from(counted));
             let mut request = request(id);
             request.prefixes.clear();
             solo.apply(Event::Arrived(Box::new(request)));
         }
-        if (solo.now - begin) % 50 == 0 {
+        if (solo.now - begin).is_multiple_of(50) {
             solo.apply(Event::Tick { draw: 7 });
         }
-        if (solo.now - begin) % 500 == 0 {
+        if (solo.now - begin).is_multiple_of(500) {
             let beat =
                 Beat { handles: vec![1; ROUTES], ages: vec![5; ROUTES], loads: vec![0; ROUTES] };
             solo.receive(Body::Beat(beat));
--- a/examples/measure/decisions/routing.rs
+++ b/examples/measure/decisions/routing.rs
@@ -198,7 +198,7 @@
                 continue;
             };
             for table in &mut self.tables {
-                let lost = self.random.next() % 20 == 0;
+                let lost = self.random.next().is_multiple_of(20);
                 if !lost {
                     table.refresh(&name(at), "h", Instant::from_millis(made), load, now);
                 }
--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,93 @@
+//! The two programs' command lines.
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+use dotterelhoist_testkit::scenario::{Scenario, Size};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_dotterelhoistd");
+const COMMAND: &str = env!("CARGO_BIN_EXE_dotterelhoist");
+const ONE: Size = Size { zones: 1, disks: 1, diskless: 0, members: 1, vms: 1 };
+
+fn run(program: &str, arguments: &[&str]) -> Output {
+    Command::new(program).args(arguments).output().expect("the program starts")
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+fn write(folder: &Path, name: &str, text: &str) -> String {
+    let path = folder.join(name);
+    std::fs::write(&path, text).expect("a writable folder");
+    path.to_string_lossy().into_owned()
+}
+
+#[test]
+fn settings_wrong_are_all_reported_with_exit_code_2() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = write(folder.path(), "wrong.json", "{\n  \"daemon\": 7,\n  \"zoo\": 1\n}");
+    for (program, arguments) in [(COMMAND, vec!["check", &path]), (DAEMON, vec![path.as_str()])] {
+        let output = run(program, &arguments);
+        assert_eq!(output.status.code(), Some(2));
+        let errors = errors(&output);
+        assert!(errors.contains(":2:13: daemon: must be a string"), "{errors}");
+        assert!(errors.contains(":3:3: zoo: is not a setting"), "{errors}");
+    }
+}
+
+#[test]
+fn objects_wrong_are_all_reported_and_none_is_applied() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let text = r#"[
+        { "kind": "serving-group", "name": "g", "spec": { "model": "m", "members": 0, "replicas": 1 } },
+        { "kind": "zoo", "name": "b a d" },
+        { "kind": "service", "name": "s", "spec": { "groups": "a==", "colour": 1 } },
+    ]"#;
+    let path = write(folder.path(), "objects.json", text);
+    let output = run(COMMAND, &["apply", &path, "--server", "127.0.0.1:9"]);
+    assert_eq!(output.status.code(), Some(2));
+    let errors = errors(&output);
+    for finding in [
+        "object 1: spec: members: must be from 1 to 64",
+        "object 2: kind: `zoo`",
+        "object 2: name:",
+        "object 3: spec:",
+    ] {
+        assert!(errors.contains(finding), "{errors}");
+    }
+}
+
+#[test]
+fn command_unreachable_daemon_has_its_own_exit_code() {
+    let output = run(COMMAND, &["status", "--server", "127.0.0.1:9"]);
+    assert_eq!(output.status.code(), Some(3), "{}", errors(&output));
+}
+
+#[test]
+fn command_applies_shows_and_deletes() {
+    smol::block_on(async {
+        let scenario = Scenario::spawn(Scenario::plan(DAEMON, ONE), ONE, |_| {}).await;
+        let server = scenario.deployment.daemons[0].addresses.operators.to_string();
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let text = r#"{ "kind": "service", "name": "extra", "expected": 0, "spec": { "groups": "app=x" } }"#;
+        let path = write(folder.path(), "extra.json", text);
+        let apply = ["apply", &path, "--wait", "--operation", "op-7", "--server", &server];
+        let first = run(COMMAND, &apply);
+        assert!(first.status.success(), "{}", errors(&first));
+        let resent = run(COMMAND, &apply);
+        assert_eq!(resent.stdout, first.stdout, "a resent change gets its first answer");
+        let other = run(COMMAND, &["apply", &path, "--server", &server]);
+        assert_eq!(other.status.code(), Some(1));
+        assert!(errors(&other).contains("conflict: version 1 is in force"), "{}", errors(&other));
+        let shown = run(COMMAND, &["get", "service", "extra", "--server", &server]);
+        assert!(String::from_utf8_lossy(&shown.stdout).contains("app=x"));
+        let deleted = run(COMMAND, &["delete", "service", "extra", "--server", &server]);
+        assert!(deleted.status.success(), "{}", errors(&deleted));
+        let status = run(COMMAND, &["status", "--server", &server]);
+        let table = String::from_utf8_lossy(&status.stdout).into_owned();
+        assert!(table.contains("ready") && table.contains("accepting"), "{table}");
+        let unknown = run(COMMAND, &["explain", "zone-a-0.1.1", "--server", &server]);
+        assert_eq!(unknown.status.code(), Some(1));
+    });
+}
