Split the two largest sub-reducers by what they do

Cause: read as a newcomer, state/serving.rs (957 lines) and state/logs.rs (700) held several matters each.

--- a/crates/core/src/state/logs.rs
+++ b/crates/core/src/state/logs.rs
@@ -4,16 +4,13 @@
 
 use crate::clock::Instant;
 use crate::control::command::{
-    Body as CommandBody, Command, Crash, Outcome, Run, RunResult, Settle, Suspicion,
+    Body as CommandBody, Command, Crash, Run, RunResult, Settle, Suspicion,
 };
 use crate::control::Machine;
-use crate::count::Counter;
-use crate::effect::{Answer, Effect, Effects};
+use crate::effect::{Effect, Effects};
 use crate::journal;
-use crate::message::{self, Body, Feed, Follow, Forward, Suspect};
-use crate::policy::{
-    CLAIM_GRACE, COMPACT_AFTER, FOLLOW_INTERVAL, PROPOSAL_RETRY, PROPOSAL_TIMEOUT, STALE_AFTER,
-};
+use crate::message::{Body, Suspect};
+use crate::policy::{CLAIM_GRACE, COMPACT_AFTER, PROPOSAL_TIMEOUT};
 use crate::replica::message::{Entry, Envelope, Voter};
 use crate::replica::{Output, Replica, Role};
 use crate::Name;
@@ -23,6 +20,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+mod following;
+mod proposing;
+
 /// Entries sent in one feed.
 const FEED_ENTRIES: usize = 512;
 /// Times that a command is passed on on its way to the leader.
@@ -372,277 +372,6 @@
         }
     }
 
-    fn ask_for_feed(&mut self, now: Instant, effects: &mut Effects) {
-        if self.followed.is_none() || now < self.due.follow {
-            return;
-        }
-        self.due.follow = now + FOLLOW_INTERVAL;
-        let Some(log) = self.log_with(&Duty::Configuration) else { return };
-        let hosts: Vec<Name> = log.founders.iter().map(|v| v.daemon.as_str().into()).collect();
-        let own = |host: &&Name| self.zone_of(host) == Some(&self.setup.zone);
-        let mut near: Vec<Name> = hosts.iter().filter(own).cloned().collect();
-        if near.is_empty() {
-            near = hosts;
-        }
-        near.retain(|host| self.is_linked(host, now));
-        let Some(followed) = &mut self.followed else { return };
-        if self.ready && !near.is_empty() {
-            let silent = followed.fed.is_none_or(|fed| now.since(fed) > STALE_AFTER);
-            followed.turn += usize::from(silent);
-            near = vec![near[followed.turn % near.len()].clone()];
-        }
-        for host in near {
-            let follow = Follow { log: followed.log.to_string(), applied: followed.applied };
-            effects.push(Effect::Send { to: host, body: Body::Follow(follow) });
-        }
-    }
-
-    pub(super) fn asked_to_feed(
-        &mut self,
-        now: Instant,
-        from: &Name,
-        follow: &Follow,
-        effects: &mut Effects,
-    ) {
-        let Some(hosted) = self.logs.get(follow.log.as_str()) else { return };
-        let applied = hosted.replica.applied();
-        let mut feed = Feed {
-            log: follow.log.clone(),
-            applied,
-            fresh: hosted.replica.fresh(now),
-            ..Feed::default()
-        };
-        match hosted.replica.committed_after(follow.applied, FEED_ENTRIES) {
-            Some(entries) => feed.entries = entries,
-            None => {
-                let configuration = hosted.machine.configuration.clone();
-                let machine = Machine { configuration, ..Machine::default() };
-                feed.machine = Some(machine.encode());
-            }
-        }
-        effects.push(Effect::Send { to: from.clone(), body: Body::Feed(feed) });
-    }
-
-    pub(super) fn fed(&mut self, now: Instant, from: &Name, feed: Feed, effects: &mut Effects) {
-        let Some(followed) = &mut self.followed else { return };
-        if *followed.log != *feed.log {
-            return;
-        }
-        followed.fed = Some(now);
-        if let Some(machine) = &feed.machine {
-            let decoded = Machine::decode(machine).ok();
-            if let Some(machine) = decoded.filter(|_| feed.applied > followed.applied) {
-                followed.machine = machine;
-                followed.applied = feed.applied;
-            }
-        }
-        for entry in feed.entries {
-            if entry.index != followed.applied + 1 {
-                continue;
-            }
-            followed.applied = entry.index;
-            if entry.command.is_empty() {
-                continue;
-            }
-            if let Ok(command) = Command::decode(entry.command.as_slice()) {
-                followed.machine.apply(entry.index, command);
-            }
-        }
-        let behind = followed.applied < feed.applied;
-        if feed.fresh && !behind {
-            followed.fresh = Some(now);
-        }
-        let (log, applied) = (followed.log.clone(), followed.applied);
-        if behind {
-            let follow = Follow { log: log.to_string(), applied };
-            effects.push(Effect::Send { to: from.clone(), body: Body::Follow(follow) });
-        }
-        self.refresh_view(&log, effects);
-    }
-
-    /// Whether the configuration log has been out of touch with its leader.
-    pub(super) fn is_stale(&self, now: Instant) -> bool {
-        if let Some(followed) = &self.followed {
-            return followed.fresh.is_none_or(|fresh| now.since(fresh) > STALE_AFTER);
-        }
-        let hosted = self.logs.values().find(|hosted| hosted.duty == Duty::Configuration);
-        !hosted.is_some_and(|hosted| hosted.replica.fresh(now))
-    }
-
-    pub(super) fn update_readiness(&mut self, now: Instant, effects: &mut Effects) {
-        if self.ready {
-            return;
-        }
-        let isolated = now.since(self.started) > ISOLATED_START && self.view.revision > 0;
-        if !self.is_stale(now) || isolated {
-            self.ready = true;
-            let revision = self.view.revision;
-            effects.push(Effect::Log(journal::Event::Ready { revision }));
-        }
-    }
-
-    /// Sends a command to the leader of a log and keeps sending it until its outcome is known or
-    /// `patience` is over. Commands are safe to repeat.
-    pub(super) fn propose(
-        &mut self,
-        now: Instant,
-        log: Name,
-        command: CommandBody,
-        purpose: Purpose,
-        patience: Duration,
-        effects: &mut Effects,
-    ) -> u64 {
-        let command = Command::new(command).encode_to_vec();
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
-        let deadline = now + patience;
-        self.pending.insert(ticket, Pending { log, command, purpose, sent: now, deadline });
-        self.submit(now, ticket, 0, effects);
-        ticket
-    }
-
-    /// Appends a pending command if this daemon leads its log, else passes it on. Returns whether
-    /// either was possible.
-    fn submit(&mut self, now: Instant, ticket: u64, hops: u32, effects: &mut Effects) -> bool {
-        let Some(pending) = self.pending.get_mut(&ticket) else { return false };
-        pending.sent = now;
-        let log = pending.log.clone();
-        let command = pending.command.clone();
-        if let Some(hosted) = self.logs.get_mut(&log) {
-            let mut outputs = Vec::new();
-            let term = hosted.replica.term();
-            if let Some(index) = hosted.replica.propose(now, command.clone(), &mut outputs) {
-                let position = Position { log: log.clone(), index };
-                self.waiters.insert(position, Waiter { term, ticket });
-                self.carry_out(now, &log, outputs, effects);
-                return true;
-            }
-        }
-        let Some(to) = self.towards_leader(now, &log) else { return false };
-        let forward = Forward { ticket, log: log.to_string(), command, hops };
-        effects.push(Effect::Send { to, body: Body::Forward(forward) });
-        true
-    }
-
-    /// Daemon to which a command for a log goes next.
-    fn towards_leader(&self, now: Instant, log: &Name) -> Option<Name> {
-        if let Some(hosted) = self.logs.get(log) {
-            let leader = hosted.replica.leader().filter(|leader| self.is_linked(leader, now));
-            return leader.filter(|leader| **leader != self.setup.daemon).cloned();
-        }
-        let setup = self.setup.logs.iter().find(|setup| setup.name == *log)?;
-        let hosts = setup.founders.iter().map(|voter| Name::from(voter.daemon.as_str()));
-        let linked: Vec<Name> = hosts.filter(|host| self.is_linked(host, now)).collect();
-        let own = |host: &&Name| self.zone_of(host) == Some(&self.setup.zone);
-        linked.iter().find(own).or(linked.first()).cloned()
-    }
-
-    /// Whether a command for the log has somewhere to go.
-    pub(super) fn is_reachable(&self, now: Instant, log: &Name) -> bool {
-        let leads = self.logs.get(log).is_some_and(|hosted| hosted.replica.leads(now));
-        leads || self.towards_leader(now, log).is_some()
-    }
-
-    pub(super) fn forwarded(
-        &mut self,
-        now: Instant,
-        from: &Name,
-        forward: Forward,
-        effects: &mut Effects,
-    ) {
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
-        let pending = Pending {
-            log: forward.log.into(),
-            command: forward.command,
-            purpose: Purpose::Relay { peer: from.clone(), ticket: forward.ticket },
-            sent: now,
-            deadline: now + PROPOSAL_TIMEOUT,
-        };
-        self.pending.insert(ticket, pending);
-        let submitted =
-            forward.hops < HOPS_MAX && self.submit(now, ticket, forward.hops + 1, effects);
-        if !submitted {
-            self.resolve(now, ticket, None, effects);
-        }
-    }
-
-    pub(super) fn answered(
-        &mut self,
-        now: Instant,
-        answer: message::Answer,
-        effects: &mut Effects,
-    ) {
-        let relayed = self
-            .pending
-            .get(&answer.ticket)
-            .is_some_and(|pending| matches!(pending.purpose, Purpose::Relay { .. }));
-        if answer.outcome.is_some() || relayed {
-            self.resolve(now, answer.ticket, answer.outcome, effects);
-            return;
-        }
-        self.give_up_unreachable(now, answer.ticket, effects);
-    }
-
-    /// Gives up a claim at once when the log turns out to have no leader; other commands are sent
-    /// again until their patience is over.
-    fn give_up_unreachable(&mut self, now: Instant, ticket: u64, effects: &mut Effects) {
-        let claim = self.pending.get(&ticket).is_some_and(|pending| {
-            matches!(pending.purpose, Purpose::Claim(_) | Purpose::Trial(_))
-        });
-        if claim {
-            self.resolve(now, ticket, None, effects);
-        }
-    }
-
-    pub(super) fn tick_proposals(&mut self, now: Instant, effects: &mut Effects) {
-        let due: Vec<u64> = self
-            .pending
-            .iter()
-            .filter(|(_, p)| now >= p.deadline || now.since(p.sent) >= PROPOSAL_RETRY)
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in due {
-            let Some(pending) = self.pending.get(&ticket) else { continue };
-            let relayed = matches!(pending.purpose, Purpose::Relay { .. });
-            if now >= pending.deadline {
-                self.resolve(now, ticket, None, effects);
-            } else if !relayed {
-                self.count(Counter::Reproposed, effects);
-                if !self.submit(now, ticket, 0, effects) {
-                    self.give_up_unreachable(now, ticket, effects);
-                }
-            }
-        }
-    }
-
-    /// Hands the outcome of a command to whoever waits for it; none if it is not known.
-    fn resolve(
-        &mut self,
-        now: Instant,
-        ticket: u64,
-        outcome: Option<Outcome>,
-        effects: &mut Effects,
-    ) {
-        let Some(pending) = self.pending.remove(&ticket) else { return };
-        match pending.purpose {
-            Purpose::Claim(request) => self.claim_decided(now, request, outcome, effects),
-            Purpose::Settle(request) => self.settle_decided(now, request, outcome, effects),
-            Purpose::Trial(request) => self.trial_decided(now, request, outcome, effects),
-            Purpose::Crashed(request) => self.crash_recorded(now, request, outcome, effects),
-            Purpose::Nothing => {}
-            Purpose::Bill => self.billed(outcome.is_some()),
-            Purpose::Operator(ticket) => {
-                let answer = outcome.map_or(Answer::Unreachable, Answer::Outcome);
-                effects.push(Effect::Answer { ticket, answer });
-            }
-            Purpose::Relay { peer, ticket } => {
-                let body = Body::Answer(message::Answer { ticket, outcome });
-                effects.push(Effect::Send { to: peer, body });
-            }
-        }
-    }
-
     /// Daemon that leads a log, if this daemon knows one.
     pub(super) fn leads_log(&self, name: &Name, now: Instant) -> bool {
         let hosted = self.logs.get(name);
--- a/crates/core/src/state/serving.rs
+++ b/crates/core/src/state/serving.rs
@@ -8,28 +8,24 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admit::{self, Bucket, Terms, Waiting};
 use crate::clock::Instant;
-use crate::control::claims::CRASHES_ALLOWED;
-use crate::control::command::{
-    Bill, Body as CommandBody, Claim, Crash, Line, Outcome, Run, RunResult, Settle, Suspicion,
-    Verdict,
-};
-use crate::count::{Cause, Counter};
+use crate::control::command::{Body as CommandBody, Crash, Run, RunResult, Settle, Suspicion};
+use crate::count::Counter;
 use crate::effect::{Effect, Effects};
-use crate::journal;
 use crate::object::{Service, Workspace};
-use crate::policy::{BILL_INTERVAL, PROPOSAL_TIMEOUT};
 use crate::request::{Call, Decision, Dispatch, End, Reason, Refusal, Request};
-use crate::retry::ATTEMPTS_MAX;
 use crate::route::{Standing, Target, Wish};
 use crate::Name;
 
-use super::logs::Purpose;
 use super::State;
 
+mod billing;
+mod claiming;
+mod ending;
+mod suspecting;
+
 /// Time after which to come back when nothing better is known.
 const COME_BACK: Duration = Duration::from_secs(1);
 /// Time between two questions whether a suspected request may be tried.
@@ -216,70 +212,6 @@
         format!("{}.{:x}.{id:x}", self.setup.daemon, self.setup.incarnation).into()
     }
 
-    fn claim(&mut self, now: Instant, id: u64, effects: &mut Effects) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        active.stage = Stage::Claiming;
-        let key = active.key();
-        let claim = Claim {
-            workspace: active.terms.workspace.to_string(),
-            key: key.clone(),
-            digest: active.request.digest,
-            request: active.name.to_string(),
-            permission_ms: active.deadline.since(now).as_millis() as u64,
-        };
-        let patience = PROPOSAL_TIMEOUT.min(active.deadline.since(now));
-        let log = self.claim_log(xxh3_64(key.as_bytes()));
-        let Some(log) = log.filter(|log| self.is_reachable(now, log)) else {
-            self.refuse(now, id, Reason::ClaimsUnreachable, Some(COME_BACK * 2), effects);
-            return;
-        };
-        let command = CommandBody::Claim(claim);
-        self.propose(now, log, command, Purpose::Claim(id), patience, effects);
-    }
-
-    pub(super) fn claim_decided(
-        &mut self,
-        now: Instant,
-        id: u64,
-        outcome: Option<Outcome>,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        let Some(outcome) = outcome else {
-            self.refuse(now, id, Reason::ClaimsUnreachable, Some(COME_BACK * 2), effects);
-            return;
-        };
-        match outcome.verdict() {
-            Verdict::Accepted => {
-                active.claimed = true;
-                self.enter(now, id, effects);
-            }
-            Verdict::Recorded => {
-                self.repeat(id, &outcome, effects);
-            }
-            Verdict::Mismatch => self.refuse(now, id, Reason::KeyReused, None, effects),
-            _ => self.refuse(now, id, Reason::InProgress, Some(COME_BACK), effects),
-        }
-    }
-
-    /// Gives the caller what is recorded for its key.
-    fn repeat(&mut self, id: u64, outcome: &Outcome, effects: &mut Effects) {
-        let Some(active) = self.requests.get(&id) else { return };
-        let Some(result) = outcome.result.clone() else { return };
-        let run = result.run();
-        let name = active.name.clone();
-        let decision = match run {
-            Run::Done => Decision::Repeat(result),
-            _ => {
-                let reason = Reason::Broken;
-                Decision::Refuse(Refusal { reason, run, retry_after: None })
-            }
-        };
-        self.count(Counter::Repeated, effects);
-        effects.push(Effect::Decide { request: id, name, decision });
-        self.close(id, run, "repeated", 0, &outcome.holder, effects);
-    }
-
     /// Lets a request wait for a route, by way of a trial if it is suspected.
     fn enter(&mut self, now: Instant, id: u64, effects: &mut Effects) {
         let Some(active) = self.requests.get(&id) else { return };
@@ -290,63 +222,6 @@
         self.enqueue(now, id, effects);
     }
 
-    /// Asks the claim log for leave to run a suspected request alone on one route.
-    fn ask_for_trial(&mut self, now: Instant, id: u64, effects: &mut Effects) {
-        let Some(active) = self.requests.get(&id) else { return };
-        if !self.routes.serves(&active.target, now) {
-            self.refuse(now, id, Reason::NoEndpoint, Some(COME_BACK), effects);
-            return;
-        }
-        let route = self.choose_route(now, id);
-        let log = self.suspect_log(id).filter(|log| self.is_reachable(now, log));
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        let Some(route) = route else {
-            active.stage = Stage::Trying(Trying { route: None, again: Some(now + TRIAL_RETRY) });
-            return;
-        };
-        let command = active.crash_command(Suspicion::Trial, &route);
-        active.stage = Stage::Trying(Trying { route: Some(route), again: None });
-        let patience = PROPOSAL_TIMEOUT.min(active.deadline.since(now));
-        let Some(log) = log else {
-            self.refuse(now, id, Reason::Suspected, Some(COME_BACK * 2), effects);
-            return;
-        };
-        self.propose(now, log, command, Purpose::Trial(id), patience, effects);
-    }
-
-    pub(super) fn trial_decided(
-        &mut self,
-        now: Instant,
-        id: u64,
-        outcome: Option<Outcome>,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        let Stage::Trying(trying) = active.stage.clone() else { return };
-        let Some(outcome) = outcome else {
-            self.refuse(now, id, Reason::Suspected, Some(COME_BACK * 2), effects);
-            return;
-        };
-        let again = Stage::Trying(Trying { route: None, again: Some(now + TRIAL_RETRY) });
-        match (outcome.verdict(), trying.route) {
-            (Verdict::Accepted, Some(route)) => {
-                active.trial = true;
-                let usable = self.routes.route(&route).is_some_and(|known| {
-                    known.standing(now) == Standing::Accepting
-                        && known.health.admits(now, known.running)
-                });
-                if usable {
-                    self.dispatch(now, id, route, effects);
-                    return;
-                }
-                active.stage = again;
-                self.end_trial(now, id, Suspicion::Abandoned, effects);
-            }
-            (Verdict::InProgress, _) => active.stage = again,
-            _ => self.refuse(now, id, Reason::Crashes, None, effects),
-        }
-    }
-
     fn enqueue(&mut self, now: Instant, id: u64, effects: &mut Effects) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         if !self.routes.serves(&active.target, now) {
@@ -445,314 +320,6 @@
         self.pump(now, &service, effects);
     }
 
-    fn judge(&mut self, now: Instant, id: u64, end: End, running: &Running, effects: &mut Effects) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        active.may_have_run |= !matches!(end, End::NotSent | End::Declined);
-        let claimed = active.claimed;
-        let route = &running.route;
-        match end {
-            End::Answered { status, content_type, body, tokens } => {
-                self.note_success(route);
-                if claimed {
-                    let run = Run::Done as i32;
-                    let status = u32::from(status);
-                    let result = RunResult { run, status, content_type, answer: body };
-                    self.settle(now, id, result, tokens, effects);
-                    return;
-                }
-                self.served(now, id, tokens, effects);
-            }
-            End::NotSent => {
-                self.note_failure(now, route, effects);
-                self.retry(now, id, route, Cause::NotSent, effects);
-            }
-            End::Declined => {
-                self.note_withdrawal(route);
-                self.retry(now, id, route, Cause::Declined, effects);
-            }
-            End::Lost { tokens, forwarded, crashed } => {
-                let aborted = running.aborted;
-                let lost = Lost { tokens, forwarded, aborted, route: route.clone() };
-                self.lost(now, id, lost, crashed, effects);
-            }
-            End::TimedOut { tokens } => {
-                self.note_failure(now, route, effects);
-                self.give_up(now, id, Reason::DeadlineExceeded, tokens, effects);
-            }
-            End::CallerGone { tokens } => {
-                self.note_withdrawal(route);
-                self.give_up(now, id, Reason::CallerGone, tokens, effects);
-            }
-        }
-    }
-
-    fn lost(&mut self, now: Instant, id: u64, lost: Lost, crashed: bool, effects: &mut Effects) {
-        let Some(active) = self.requests.get(&id) else { return };
-        let (request, vm, attempt) = (active.name.clone(), active.vm.clone(), active.attempts);
-        let trial = active.trial;
-        effects.push(Effect::Log(journal::Event::Lost { request, vm, attempt }));
-        if !lost.aborted {
-            self.note_failure(now, &lost.route, effects);
-        }
-        if crashed && !lost.aborted && self.is_blamed(now, id, &lost.route) {
-            if trial {
-                self.trial_deaths.insert(lost.route.clone(), now);
-            }
-            self.report_crash(now, id, lost, effects);
-            return;
-        }
-        self.after_loss(now, id, lost, effects);
-    }
-
-    /// Whether the death of an endpoint counts against a request: if a suspected request was being
-    /// tried there, only that one is blamed.
-    fn is_blamed(&self, now: Instant, id: u64, route: &Name) -> bool {
-        let Some(active) = self.requests.get(&id) else { return false };
-        if active.trial {
-            return true;
-        }
-        let died = self.trial_deaths.get(route);
-        let recent = died.is_some_and(|died| now.since(*died) < TRIAL_BLAME);
-        let trying = self.requests.values().any(|other| {
-            let there = matches!(&other.stage, Stage::Running(running) if running.route == *route);
-            other.trial && there
-        });
-        !recent && !trying
-    }
-
-    /// Records that an endpoint died under a request, before anything else is done with it.
-    fn report_crash(&mut self, now: Instant, id: u64, lost: Lost, effects: &mut Effects) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        active.stage = Stage::Reporting(lost);
-        active.trial = false;
-        let fingerprint = active.request.digest;
-        let command = active.crash_command(Suspicion::Crashed, &active.vm);
-        self.spread_suspicion(fingerprint, false, effects);
-        let Some(log) = self.suspect_log(id) else { return };
-        let purpose = Purpose::Crashed(id);
-        self.propose(now, log, command, purpose, PROPOSAL_TIMEOUT, effects);
-    }
-
-    pub(super) fn crash_recorded(
-        &mut self,
-        now: Instant,
-        id: u64,
-        outcome: Option<Outcome>,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        let Stage::Reporting(lost) = active.stage.clone() else { return };
-        active.stage = Stage::Queued;
-        let deaths = outcome.map_or(0, |outcome| outcome.version);
-        if deaths >= u64::from(CRASHES_ALLOWED) && !lost.forwarded {
-            self.give_up(now, id, Reason::Crashes, lost.tokens, effects);
-            return;
-        }
-        self.after_loss(now, id, lost, effects);
-    }
-
-    fn after_loss(&mut self, now: Instant, id: u64, lost: Lost, effects: &mut Effects) {
-        let Some(active) = self.requests.get(&id) else { return };
-        let reason = if lost.aborted { Reason::GroupLost } else { Reason::Broken };
-        if lost.forwarded || active.claimed {
-            self.give_up(now, id, reason, lost.tokens, effects);
-            return;
-        }
-        self.retry(now, id, &lost.route, Cause::Lost, effects);
-    }
-
-    /// Repeats an attempt if the budget, the number of attempts and the deadline allow it.
-    fn retry(&mut self, now: Instant, id: u64, route: &Name, cause: Cause, effects: &mut Effects) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        active.tried.push(route.clone());
-        let allowed = active.attempts < ATTEMPTS_MAX && now < active.deadline;
-        if !allowed || !self.budget.withdraw() {
-            if allowed {
-                self.count(Counter::RetryDenied, effects);
-            }
-            let reason = match cause {
-                Cause::NotSent | Cause::Declined => Reason::NoEndpoint,
-                Cause::Lost => Reason::Broken,
-            };
-            self.give_up(now, id, reason, 0, effects);
-            return;
-        }
-        self.count(Counter::Retried(cause), effects);
-        self.enter(now, id, effects);
-    }
-
-    fn served(&mut self, now: Instant, id: u64, tokens: u64, effects: &mut Effects) {
-        self.count(Counter::Served, effects);
-        self.end_trial(now, id, Suspicion::Cleared, effects);
-        self.close(id, Run::Done, "served", tokens, "", effects);
-    }
-
-    fn settle(
-        &mut self,
-        now: Instant,
-        id: u64,
-        result: RunResult,
-        tokens: u64,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        active.stage = Stage::Settling(tokens);
-        let settle = active.settle_command(result);
-        let key = active.key();
-        let Some(log) = self.claim_log(xxh3_64(key.as_bytes())) else { return };
-        let purpose = Purpose::Settle(id);
-        self.propose(now, log, settle, purpose, PROPOSAL_TIMEOUT, effects);
-    }
-
-    pub(super) fn settle_decided(
-        &mut self,
-        now: Instant,
-        id: u64,
-        outcome: Option<Outcome>,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        active.may_have_run = true;
-        let recorded = outcome.as_ref().is_some_and(|outcome| {
-            let repeated = outcome.result.as_ref().is_some_and(|r| r.run() == Run::Done);
-            outcome.verdict() == Verdict::Accepted || repeated
-        });
-        if !recorded {
-            active.claimed = false;
-            self.refuse(now, id, Reason::ClaimsUnreachable, Some(COME_BACK * 2), effects);
-            return;
-        }
-        let tokens = match active.stage {
-            Stage::Settling(tokens) => tokens,
-            _ => 0,
-        };
-        let name = active.name.clone();
-        let decision = Decision::Deliver;
-        effects.push(Effect::Decide { request: id, name, decision });
-        self.served(now, id, tokens, effects);
-    }
-
-    pub(super) fn caller_gone(&mut self, now: Instant, id: u64, effects: &mut Effects) {
-        let Some(active) = self.requests.get(&id) else { return };
-        if active.claims {
-            return;
-        }
-        if matches!(active.stage, Stage::Running(_)) {
-            return;
-        }
-        self.give_up(now, id, Reason::CallerGone, 0, effects);
-    }
-
-    /// Ends a request without an answer of an endpoint; the caller may have had a part of one.
-    fn give_up(
-        &mut self,
-        now: Instant,
-        id: u64,
-        reason: Reason,
-        tokens: u64,
-        effects: &mut Effects,
-    ) {
-        let come_back = match reason {
-            Reason::Broken | Reason::GroupLost | Reason::NoEndpoint => Some(COME_BACK),
-            _ => None,
-        };
-        let Some(active) = self.requests.get(&id) else { return };
-        let name = active.name.clone();
-        let run = active.run();
-        let refusal = Refusal { reason, run, retry_after: come_back };
-        self.tell_refusal(id, &name, refusal, effects);
-        self.record_end(now, id, run, effects);
-        self.close(id, run, &reason.to_string(), tokens, "", effects);
-    }
-
-    /// Refuses a request that has not been answered in any part.
-    fn refuse(
-        &mut self,
-        now: Instant,
-        id: u64,
-        reason: Reason,
-        retry_after: Option<Duration>,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.get(&id) else { return };
-        let name = active.name.clone();
-        let run = match reason {
-            Reason::KeyReused => Run::NotRun,
-            Reason::InProgress => Run::Unknown,
-            _ => active.run(),
-        };
-        self.tell_refusal(id, &name, Refusal { reason, run, retry_after }, effects);
-        self.record_end(now, id, run, effects);
-        self.close(id, run, &reason.to_string(), 0, "", effects);
-    }
-
-    fn tell_refusal(&mut self, id: u64, name: &Name, refusal: Refusal, effects: &mut Effects) {
-        let reason = refusal.reason;
-        self.count(Counter::Refused(reason), effects);
-        let request = name.clone();
-        effects.push(Effect::Log(journal::Event::Refused { request, reason }));
-        let decision = Decision::Refuse(refusal);
-        effects.push(Effect::Decide { request: id, name: name.clone(), decision });
-    }
-
-    /// Records the end of a claim and of a trial that did not end with an answer.
-    fn record_end(&mut self, now: Instant, id: u64, run: Run, effects: &mut Effects) {
-        self.end_trial(now, id, Suspicion::Abandoned, effects);
-        let Some(active) = self.requests.get(&id) else { return };
-        if !active.claimed {
-            return;
-        }
-        let result = RunResult { run: run as i32, ..RunResult::default() };
-        let settle = active.settle_command(result);
-        let key = active.key();
-        let Some(log) = self.claim_log(xxh3_64(key.as_bytes())) else { return };
-        self.propose(now, log, settle, Purpose::Nothing, PROPOSAL_TIMEOUT, effects);
-    }
-
-    fn end_trial(&mut self, now: Instant, id: u64, end: Suspicion, effects: &mut Effects) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        if !active.trial {
-            return;
-        }
-        active.trial = false;
-        let command = active.crash_command(end, &active.vm);
-        let Some(log) = self.suspect_log(id) else { return };
-        self.propose(now, log, command, Purpose::Nothing, PROPOSAL_TIMEOUT, effects);
-    }
-
-    fn suspect_log(&self, id: u64) -> Option<Name> {
-        self.claim_log(self.requests.get(&id)?.request.digest)
-    }
-
-    /// Removes a request that has its final answer and writes its usage line.
-    fn close(
-        &mut self,
-        id: u64,
-        run: Run,
-        told: &str,
-        tokens: u64,
-        repeats: &str,
-        effects: &mut Effects,
-    ) {
-        let Some(active) = self.requests.remove(&id) else { return };
-        effects.push(Effect::Close { request: id });
-        if let Some(queue) = self.queues.get_mut(&active.request.service) {
-            queue.remove(&active.terms.workspace, id);
-        }
-        self.lines.push(Line {
-            request: active.name.to_string(),
-            workspace: active.terms.workspace.to_string(),
-            service: active.request.service.to_string(),
-            received: active.request.received,
-            sends: active.attempts,
-            tokens,
-            run: run as i32,
-            told: told.to_owned(),
-            vm: active.vm.to_string(),
-            repeats: repeats.to_owned(),
-        });
-    }
-
     pub(super) fn tick_serving(&mut self, now: Instant, effects: &mut Effects) {
         self.abort_broken(now, effects);
         self.ask_trials_again(now, effects);
@@ -805,20 +372,6 @@
         }
     }
 
-    fn ask_trials_again(&mut self, now: Instant, effects: &mut Effects) {
-        let due = |active: &Active| matches!(&active.stage, Stage::Trying(trying) if trying.again.is_some_and(|at| now >= at));
-        let ids: Vec<u64> =
-            self.requests.iter().filter(|(_, a)| due(a)).map(|(id, _)| *id).collect();
-        for id in ids {
-            let late = self.requests.get(&id).is_some_and(|active| now >= active.deadline);
-            if late {
-                self.refuse(now, id, Reason::Suspected, Some(COME_BACK), effects);
-            } else {
-                self.ask_for_trial(now, id, effects);
-            }
-        }
-    }
-
     /// Refuses waiting requests that can't be served any more.
     fn expire_waiting(&mut self, now: Instant, effects: &mut Effects) {
         let mut late = Vec::new();
@@ -846,55 +399,6 @@
             self.refuse(now, id, Reason::NoEndpoint, Some(COME_BACK), effects);
         }
     }
-
-    /// Proposes the next batch of usage lines once the last one is recorded.
-    fn send_bill(&mut self, now: Instant, effects: &mut Effects) {
-        if self.lines.is_empty() || self.billing.is_some() || now < self.due.bill {
-            return;
-        }
-        self.due.bill = now + BILL_INTERVAL;
-        let daemon = self.setup.daemon.clone();
-        let Some(log) = self.claim_log(xxh3_64(daemon.as_bytes())) else {
-            self.lines.clear();
-            return;
-        };
-        let count = self.lines.len().min(BILL_LINES);
-        let lines: Vec<Line> = self.lines.drain(..count).collect();
-        self.batch += 1;
-        let bill = CommandBody::Bill(Bill {
-            daemon: format!("{daemon}.{:x}", self.setup.incarnation),
-            batch: self.batch,
-            lines,
-        });
-        let ticket = self.propose(now, log, bill, Purpose::Bill, BILL_PATIENCE, effects);
-        if self.pending.contains_key(&ticket) {
-            self.billing = Some(ticket);
-        }
-    }
-
-    pub(super) fn billed(&mut self, _recorded: bool) {
-        self.billing = None;
-    }
-
-    fn note_success(&mut self, route: &Name) {
-        if let Some(route) = self.routes.route_mut(route) {
-            route.health.succeeded();
-        }
-    }
-
-    fn note_withdrawal(&mut self, route: &Name) {
-        if let Some(route) = self.routes.route_mut(route) {
-            route.health.withdrew();
-        }
-    }
-
-    fn note_failure(&mut self, now: Instant, name: &Name, effects: &mut Effects) {
-        let Some(route) = self.routes.route_mut(name) else { return };
-        if route.health.failed(now) {
-            self.count(Counter::Ejected, effects);
-            effects.push(Effect::Log(journal::Event::Ejected { route: name.clone() }));
-        }
-    }
 }
 
 /// A request that may wait.
--- /dev/null
+++ b/crates/core/src/state/serving/billing.rs
@@ -0,0 +1,43 @@
+//! Usage lines on their way to the claim log.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Instant;
+use crate::control::command::{Bill, Body as CommandBody, Line};
+use crate::effect::Effects;
+use crate::policy::BILL_INTERVAL;
+
+use super::super::logs::Purpose;
+use super::super::State;
+use super::{BILL_LINES, BILL_PATIENCE};
+
+impl State {
+    /// Proposes the next batch of usage lines once the last one is recorded.
+    pub(super) fn send_bill(&mut self, now: Instant, effects: &mut Effects) {
+        if self.lines.is_empty() || self.billing.is_some() || now < self.due.bill {
+            return;
+        }
+        self.due.bill = now + BILL_INTERVAL;
+        let daemon = self.setup.daemon.clone();
+        let Some(log) = self.claim_log(xxh3_64(daemon.as_bytes())) else {
+            self.lines.clear();
+            return;
+        };
+        let count = self.lines.len().min(BILL_LINES);
+        let lines: Vec<Line> = self.lines.drain(..count).collect();
+        self.batch += 1;
+        let bill = CommandBody::Bill(Bill {
+            daemon: format!("{daemon}.{:x}", self.setup.incarnation),
+            batch: self.batch,
+            lines,
+        });
+        let ticket = self.propose(now, log, bill, Purpose::Bill, BILL_PATIENCE, effects);
+        if self.pending.contains_key(&ticket) {
+            self.billing = Some(ticket);
+        }
+    }
+
+    pub(in crate::state) fn billed(&mut self) {
+        self.billing = None;
+    }
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -204,7 +204,7 @@
                 })
                 .collect();
             let mut winners = 0;
-            for (operation, reply) in futures_lite_join(racing).await {
+            for (operation, reply) in join_all(racing).await {
                 let reply = reply.expect("a final answer");
                 if reply.status != 200 {
                     assert_eq!(reply.status, 409, "{}", reply.body);
@@ -237,7 +237,7 @@
 }
 
 /// Runs futures one step at a time until all are done.
-async fn futures_lite_join<Work>(works: Vec<Work>) -> Vec<Work::Output>
+async fn join_all<Work>(works: Vec<Work>) -> Vec<Work::Output>
 where
     Work: std::future::Future,
 {
