Raise the affinity bound to 2; allow an answer to be cut where its daemon was killed

Cause 1: prefix affinity spilled too often at a bound of 1.25 times the mean. Cause 2: one of ten runs of the whole suite failed: bookings_run_at_most_once_while_daemons_are_killed saw an answer with status 200 that was cut. The daemon had been killed by the test between head and body; the length showed the caller that the answer was not whole. Ruled out: a cut answer that looks whole (the check was on the length), a second run (each key ran once). Change: where daemons are killed, a cut answer is allowed, but must still mean that the booking ran exactly once, which was not checked before; where none is killed it is still forbidden.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -59,7 +59,7 @@
             loads_per_minute: 120,
             queue: 4096,
             retry_ratio: 0.1,
-            affinity_bound: 1.25,
+            affinity_bound: 2.0,
         }
     }
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -358,7 +358,7 @@
         loads_per_minute: 120,
         queue: 4096,
         retry_ratio: 0.1,
-        affinity_bound: 1.25,
+        affinity_bound: 2.0,
     };
     root.section("policy", Some(default.clone()), |section| {
         let downtime = section.number("downtime-weight", default.downtime_weight, 0.0..=1e6);
--- a/examples/measure/decisions/routing.rs
+++ b/examples/measure/decisions/routing.rs
@@ -4,6 +4,7 @@
 
 use dotterelhoist_core::clock::Instant;
 use dotterelhoist_core::message::Entry;
+use dotterelhoist_core::policy::Policy;
 use dotterelhoist_core::route::{Choice, Table, Target, Wish};
 use dotterelhoist_core::Name;
 
@@ -86,7 +87,9 @@
             now: 4_000_000,
             random: Random(SEED),
             groups: (0..GROUPS).map(|_| Group::default()).collect(),
-            tables: (0..DAEMONS).map(|_| Table::new("z".into(), 1.25, choice)).collect(),
+            tables: (0..DAEMONS)
+                .map(|_| Table::new("z".into(), Policy::default().affinity_bound, choice))
+                .collect(),
             queues: vec![VecDeque::new(); DAEMONS],
             events: BTreeMap::new(),
             next: 0,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -60,8 +60,9 @@
 }
 
 /// Executions per key ≤ 1; told `not-run` ⇒ none; told an answer ⇒ exactly one, and the same answer
-/// for each submission.
-fn check_bookings(scenario: &Scenario, history: &[Submission]) {
+/// for each submission. Where daemons were `killed`, an answer may be cut on its way; its length shows
+/// that, and it still means that the booking ran.
+fn check_bookings(scenario: &Scenario, history: &[Submission], killed: bool) {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for execution in scenario.plain.history.executions() {
         *runs.entry(execution.body).or_default() += 1;
@@ -72,11 +73,13 @@
         assert!(ran <= 1, "key {} ran {ran} times", submission.key);
         let Some(reply) = &submission.reply else { continue };
         if reply.status == 200 && reply.whole {
-            assert_eq!(ran, 1, "key {} was answered without a run", submission.key);
             let first = answers.entry(submission.key).or_insert_with(|| reply.body.clone());
             assert_eq!(*first, reply.body, "key {} got two answers", submission.key);
         }
-        assert!(reply.status != 200 || reply.whole, "a cut answer with status 200");
+        if reply.status == 200 {
+            assert_eq!(ran, 1, "key {} was told 200 without a run", submission.key);
+            assert!(reply.whole || killed, "an answer was cut, but no daemon was killed");
+        }
         let final_submission = history.iter().filter(|s| s.key == submission.key).count() == 1;
         if reply.run() == "not-run" && final_submission {
             assert_eq!(ran, 0, "key {} was told not-run and ran", submission.key);
@@ -104,7 +107,7 @@
         wait_for_runs(&scenario, 40).await;
         stop.store(true, Ordering::Relaxed);
         let history = booking.await;
-        check_bookings(&scenario, &history);
+        check_bookings(&scenario, &history, true);
         let answered =
             history.iter().filter(|s| s.reply.as_ref().is_some_and(|reply| reply.status == 200));
         assert!(answered.count() > 100);
@@ -151,7 +154,7 @@
         scenario.deployment.process(&leader).signal("CONT");
         wait_for_runs(&scenario, 40).await;
         stop.store(true, Ordering::Relaxed);
-        check_bookings(&scenario, &booking.await);
+        check_bookings(&scenario, &booking.await, false);
     });
 }
 
