Serve the users' platform: control and entry daemons over one document, thin whole path

Weighed: bending the zone-by-zone control plane (2 s announcements, claims, rewriting HTTP path) was ruled out for this path: a heartbeat may be seconds late here, voters are in no settings, paths must stay as sent, and orders have an open and a close of their own. Its replicated log, store and frames are reused as they are. Change: crates/fleet (two pure reducers: documents, endpoints, groups; requests, choice, queue, retry budget), crates/gateway (sockets, files, clocks), platform/ (translation only), deploy/system.toml. The log admits voters that no settings name, replaces silent ones, and a leader whose disk stalls gives up its lead. A failed disk write is written again instead of ending the process. No tests of the new crates yet.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -39,6 +39,10 @@
 const APPEND_BYTES: usize = 1 << 20;
 /// Time between two snapshots sent to the same replica.
 const INSTALL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a write may wait for the disk before a leader gives up its lead.
+const DISK_PATIENCE: Duration = Duration::from_millis(800);
+/// Silence after which a voter may be replaced by a daemon that has caught up.
+pub const REPLACE_AFTER: Duration = Duration::from_millis(1500);
 
 /// Time constants of a log; the same for each of its replicas.
 #[derive(Clone, Copy, Debug)]
@@ -156,6 +160,11 @@
     synced: u64,
     held: VecDeque<(u64, Name, Payload)>,
     leader_commit: u64,
+    capacity: Option<usize>,
+    /// When this replica began to lead.
+    led_since: Instant,
+    /// Sequence that was synced last, and since when nothing newer was, while writes wait.
+    stalled: Option<(u64, Instant)>,
 }
 
 impl Replica {
@@ -195,9 +204,18 @@
             synced: 0,
             held: VecDeque::new(),
             leader_commit: u64::MAX,
+            capacity: None,
+            led_since: now,
+            stalled: None,
         }
     }
 
+    /// Lets daemons that no settings name become voters: up to `voters` of them in all, and in place
+    /// of voters that have been silent for [`REPLACE_AFTER`].
+    pub fn set_capacity(&mut self, voters: usize) {
+        self.capacity = Some(voters);
+    }
+
     /// Part that this replica plays.
     pub fn role(&self) -> Role {
         self.role
@@ -299,8 +317,10 @@
 
     /// Lets time pass. `draw` is a random number for the next election timeout.
     pub fn tick(&mut self, now: Instant, draw: u64, outputs: &mut Vec<Output>) {
+        self.note_stall(now);
         if self.role == Role::Leader {
-            if now >= self.lease_end() && now.since(self.heard) > self.timing.election {
+            let cut_off = now >= self.lease_end() && now.since(self.heard) > self.timing.election;
+            if cut_off || self.is_stalled(now) {
                 self.follow(self.term, None, now, draw, outputs);
                 return;
             }
@@ -309,7 +329,8 @@
             }
             return;
         }
-        if !self.is_voter() && now >= self.next_heartbeat {
+        let forgotten = now.since(self.heard) > self.timing.election * 3;
+        if (!self.is_voter() || forgotten) && now >= self.next_heartbeat {
             self.next_heartbeat = now + self.timing.election;
             self.ask_to_join(outputs);
         }
@@ -318,7 +339,7 @@
         }
         self.deadline = now + self.election_timeout(draw);
         self.leader = None;
-        if !self.identity.stands || !self.is_voter() {
+        if !self.identity.stands || !self.is_voter() || self.is_stalled(now) {
             return;
         }
         self.role = Role::PreCandidate;
@@ -524,6 +545,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.identity.clone());
         self.heard = now;
+        self.led_since = now;
         self.progress.clear();
         for peer in self.peers() {
             let progress = Progress::new(peer.daemon.into(), self.log.last_index() + 1);
@@ -753,7 +775,8 @@
         let hosts = self.founders.iter().chain(self.log.voters());
         let listed = hosts.into_iter().any(|host| host.daemon == voter.daemon);
         let replica: Name = voter.replica.as_str().into();
-        if self.progress.contains_key(&replica) || !listed {
+        let welcome = listed || self.capacity.is_some();
+        if self.progress.contains_key(&replica) || !welcome {
             return;
         }
         let mut progress = Progress::new(voter.daemon.into(), self.log.last_index() + 1);
@@ -782,6 +805,11 @@
                 let lost: Name = new.remove(position).replica.into();
                 self.progress.remove(&lost);
             }
+            None if self.is_full() => {
+                let Some(position) = self.silent_voter(now) else { return };
+                let lost: Name = new.remove(position).replica.into();
+                self.progress.remove(&lost);
+            }
             None => {
                 new.push(Voter {
                     replica: replica.to_string(),
@@ -798,6 +826,38 @@
         }
     }
 
+    fn is_full(&self) -> bool {
+        self.capacity.is_some_and(|capacity| self.log.voters().len() >= capacity)
+    }
+
+    /// Keeps in mind since when a write has waited for the disk.
+    fn note_stall(&mut self, now: Instant) {
+        if self.synced >= self.sequence {
+            self.stalled = None;
+            return;
+        }
+        match self.stalled {
+            Some((synced, _)) if synced == self.synced => {}
+            _ => self.stalled = Some((self.synced, now)),
+        }
+    }
+
+    /// Whether the disk has not finished a write for [`DISK_PATIENCE`]. A leader then gives up its
+    /// lead, because it can commit nothing itself.
+    fn is_stalled(&self, now: Instant) -> bool {
+        self.stalled.is_some_and(|(_, since)| now.since(since) > DISK_PATIENCE)
+    }
+
+    /// Position of a voter that has not answered for [`REPLACE_AFTER`].
+    fn silent_voter(&self, now: Instant) -> Option<usize> {
+        let own = &self.identity.replica;
+        self.log.voters().iter().position(|voter| {
+            let answered = self.progress.get(&*voter.replica).map_or(0, |p| p.answered_at);
+            let answered = Instant::from_millis(answered);
+            *voter.replica != **own && now.since(answered.max(self.led_since)) > REPLACE_AFTER
+        })
+    }
+
     fn advance_commit(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         let own = &self.identity.replica;
         let durable = self.log.durable_index();
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -14,17 +14,18 @@
 use dotterelhoist_core::route::Choice;
 use dotterelhoist_core::state::{Duty, LogSetup, Opened, Peer, Setup, State};
 use dotterelhoist_settings::{Holds, Log, Settings};
+use dotterelhoist_store::Files;
 use smol::channel::{bounded, unbounded, Receiver};
 use smol::net::TcpListener;
 
 use crate::callers::{self, Callers};
 use crate::endpoints::Endpoints;
-use crate::files::{Files, Writer};
+use crate::files::Writer;
 use crate::http::{self, Limits};
 use crate::links::Links;
 use crate::metrics::Meter;
 use crate::operators::{read_tokens, Operators};
-use crate::reactor::{Desk, Reactor};
+use crate::reactor::{draw, Desk, Reactor};
 use crate::upstream::Pool;
 use crate::{clock, journal};
 
@@ -121,7 +122,8 @@
             return Ok(None);
         };
         let path = folder.join(&*log.name);
-        Files::open(&path, &settings.daemon, self.found).map(Some).map_err(Error::Files)
+        let files = Files::open(&path, &settings.daemon, self.found, draw());
+        files.map(Some).map_err(Error::Files)
     }
 
     fn describe(&self, log: &Log, files: &Files) -> Opened {
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -1,18 +1,16 @@
 //! Threads that write the logs, one for each log, so that a sync never holds up the reactor.
 
 use std::io::Write as _;
-use std::path::Path;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 
 use dotterelhoist_core::event::Event;
-use dotterelhoist_core::replica::{Stored, Write};
+use dotterelhoist_core::replica::Write;
 use dotterelhoist_core::Name;
 use dotterelhoist_store::disk::Folder;
-use dotterelhoist_store::identity::{self, Identity};
-use dotterelhoist_store::{Error, Store};
+use dotterelhoist_store::{Files, Store};
 
-use crate::reactor::{draw, Desk};
+use crate::reactor::Desk;
 
 /// Exit code after an error of the disk.
 const EXIT_DISK: i32 = 74;
@@ -24,35 +22,6 @@
     write: Write,
 }
 
-/// The files of one log, open and locked.
-#[derive(Debug)]
-pub(crate) struct Files {
-    store: Store<Folder>,
-    /// Identity of the disk.
-    pub identity: Identity,
-    /// What the files hold.
-    pub stored: Stored,
-}
-
-impl Files {
-    /// Opens the folder of a log. `found` makes a new folder the one of a founder; without it a
-    /// daemon with a new folder returns as a learner.
-    pub(crate) fn open(path: &Path, daemon: &str, found: bool) -> Result<Files, Error> {
-        let mut folder = Folder::open(path)?;
-        let identity = match identity::read(&mut folder)? {
-            Some(identity) => identity,
-            None => {
-                let number = if found { 0 } else { draw().max(1) };
-                let identity = Identity { daemon: daemon.to_owned(), number };
-                identity::write(&mut folder, &identity)?;
-                identity
-            }
-        };
-        let (store, stored) = Store::open(folder)?;
-        Ok(Files { store, identity, stored })
-    }
-}
-
 /// Handle of a writing thread.
 #[derive(Debug)]
 pub(crate) struct Writer {
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -89,8 +89,8 @@
     /// Runs one connection to its end.
     async fn serve(self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
-        let mut reader = Connection::open(stream.clone());
-        let mut writer = Connection::open(stream);
+        let mut reader: Connection<TcpStream> = Connection::open(stream.clone());
+        let mut writer: Connection<TcpStream> = Connection::open(stream);
         let last = Arc::new(AtomicU64::new(0));
         let hello = frame(Body::Hello(self.hello.clone()), &last);
         let greet = async {
--- /dev/null
+++ b/crates/fleet/src/control/feeding.rs
@@ -0,0 +1,259 @@
+//! What a control daemon tells entry daemons, and what they tell it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dotterelhoist_core::clock::Instant;
+
+use crate::endpoint::Stage;
+use crate::message::{Body, Bytes, Loads, Report, Status, Target, View};
+use crate::Name;
+
+use super::{Effect, Reader, State};
+
+/// Time between two statuses to an entry daemon.
+const STATUS_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two lists of loads to an entry daemon.
+const LOADS_INTERVAL: Duration = Duration::from_millis(150);
+/// Age beyond which the report of an entry daemon says nothing any more.
+const REPORT_TTL: Duration = Duration::from_secs(2);
+/// Time constant of the mean demand.
+const DEMAND_SPAN: Duration = Duration::from_secs(4);
+/// Time without a sign of life after which a head is left out of the view.
+const VIEW_TTL: Duration = Duration::from_secs(6);
+/// Time for which a suspicion holds.
+const SUSPECT_TTL: Duration = Duration::from_secs(1);
+
+/// An entry daemon that is connected.
+#[derive(Debug, Default)]
+struct Listener {
+    report: Report,
+    reported: Instant,
+    version: u64,
+    view: u64,
+    status_due: Instant,
+    loads_due: Instant,
+}
+
+/// Work that is asked of the models of a service, in groups that it keeps busy.
+pub type Demands = BTreeMap<(Name, Name), f64>;
+
+/// The side of a control daemon that faces the entry daemons.
+#[derive(Debug, Default)]
+pub struct Feed {
+    listeners: BTreeMap<Name, Listener>,
+    /// Changes with each change of the view.
+    sequence: u64,
+    touched: bool,
+    targets: Vec<Target>,
+    demand: Demands,
+    decayed: Instant,
+    progress: BTreeMap<Name, Instant>,
+    suspects: BTreeMap<Name, Instant>,
+    traffic: bool,
+}
+
+impl Feed {
+    /// An entry daemon has connected.
+    pub(super) fn open(&mut self, daemon: Name) {
+        self.listeners.insert(daemon, Listener::default());
+    }
+
+    /// An entry daemon is no longer connected.
+    pub(super) fn close(&mut self, daemon: &Name) {
+        self.listeners.remove(daemon);
+    }
+
+    /// Notes that something behind the view has changed.
+    pub(super) fn touch(&mut self) {
+        self.touched = true;
+    }
+
+    /// Takes in the report of an entry daemon.
+    pub(super) fn report(&mut self, now: Instant, from: &Name, report: Report) {
+        self.decay(now);
+        let Some(listener) = self.listeners.get_mut(from) else { return };
+        for demand in &report.demand {
+            let key = (demand.service.as_str().into(), demand.model.as_str().into());
+            *self.demand.entry(key).or_default() += demand.seconds / DEMAND_SPAN.as_secs_f64();
+        }
+        for id in &report.progress {
+            self.progress.insert(id.as_str().into(), now);
+        }
+        for id in &report.suspects {
+            self.suspects.insert(id.as_str().into(), now);
+        }
+        self.traffic |= report.traffic;
+        listener.reported = now;
+        listener.report = report;
+    }
+
+    /// Work that is asked of each model, in groups that it keeps busy.
+    pub fn demand(&self) -> &Demands {
+        &self.demand
+    }
+
+    /// Whether callers have sent requests.
+    pub fn traffic(&self) -> bool {
+        self.traffic
+    }
+
+    /// When entry daemons last saw heads make progress.
+    pub fn progress(&self) -> &BTreeMap<Name, Instant> {
+        &self.progress
+    }
+
+    /// Endpoints that entry daemons suspect, with the time of the suspicion.
+    pub fn suspects(&self) -> &BTreeMap<Name, Instant> {
+        &self.suspects
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let passed = now.since(self.decayed).as_secs_f64();
+        if passed < 0.05 {
+            return;
+        }
+        self.decayed = now;
+        let factor = (-passed / DEMAND_SPAN.as_secs_f64()).exp();
+        self.demand.values_mut().for_each(|demand| *demand *= factor);
+        self.progress.retain(|_, at| now.since(*at) < REPORT_TTL * 4);
+        self.suspects.retain(|_, at| now.since(*at) < SUSPECT_TTL);
+    }
+}
+
+impl<Decoder> State<Decoder>
+where
+    Decoder: Reader,
+{
+    /// Sends the document to each entry daemon that has an older one.
+    pub(super) fn feed_documents(&mut self, _now: Instant, effects: &mut Vec<Effect>) {
+        let Some(put) = &self.machine.document else { return };
+        for (daemon, listener) in &mut self.feed.listeners {
+            if listener.version >= put.version {
+                continue;
+            }
+            listener.version = put.version;
+            let bytes = Bytes { version: put.version, body: put.body.clone() };
+            effects.push(Effect::Send(daemon.clone(), Body::Document(bytes)));
+        }
+    }
+
+    /// Sends entry daemons what is due.
+    pub(super) fn feed_entries(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.feed.decay(now);
+        self.feed_documents(now, effects);
+        self.refresh_view(now);
+        let status = self.status(now);
+        let names: Vec<Name> = self.feed.listeners.keys().cloned().collect();
+        for name in names {
+            self.feed_one(now, &name, &status, effects);
+        }
+    }
+
+    fn feed_one(&mut self, now: Instant, name: &Name, status: &Status, effects: &mut Vec<Effect>) {
+        let sequence = self.feed.sequence;
+        let Some(listener) = self.feed.listeners.get_mut(name) else { return };
+        if now >= listener.status_due {
+            listener.status_due = now + STATUS_INTERVAL;
+            effects.push(Effect::Send(name.clone(), Body::Status(status.clone())));
+        }
+        if !listener.report.selected {
+            return;
+        }
+        if listener.view != sequence {
+            listener.view = sequence;
+            let view = View { sequence, targets: self.feed.targets.clone() };
+            effects.push(Effect::Send(name.clone(), Body::View(view)));
+        }
+        if now >= listener.loads_due {
+            listener.loads_due = now + LOADS_INTERVAL;
+            let loads = self.loads(now, name);
+            effects.push(Effect::Send(name.clone(), Body::Loads(loads)));
+        }
+    }
+
+    fn status(&self, now: Instant) -> Status {
+        let own = std::iter::once(&self.setup.daemon);
+        Status {
+            fresh: self.replica.fresh(now),
+            version: self.machine.version(),
+            controls: own.chain(&self.controls).map(ToString::to_string).collect(),
+            entries: self.feed.listeners.len() as u32,
+        }
+    }
+
+    /// Requests that run at each endpoint of the view, in its order.
+    fn loads(&self, now: Instant, reader: &Name) -> Loads {
+        let count = self.feed.targets.len();
+        let mut loads =
+            Loads { sequence: self.feed.sequence, running: vec![0; count], own: vec![0; count] };
+        let places: BTreeMap<&str, usize> =
+            self.feed.targets.iter().enumerate().map(|(at, t)| (t.id.as_str(), at)).collect();
+        for (name, listener) in &self.feed.listeners {
+            if now.since(listener.reported) > REPORT_TTL {
+                continue;
+            }
+            for running in &listener.report.running {
+                let Some(at) = places.get(running.id.as_str()) else { continue };
+                loads.running[*at] += running.count;
+                if name == reader {
+                    loads.own[*at] = running.count;
+                }
+            }
+        }
+        loads
+    }
+
+    fn refresh_view(&mut self, now: Instant) {
+        let targets = self.targets(now);
+        self.feed.touched = false;
+        if targets != self.feed.targets {
+            self.feed.targets = targets;
+            self.feed.sequence += 1;
+        }
+    }
+
+    /// Endpoints that take requests: open heads of groups that are not being dissolved, and plain
+    /// endpoints that are ready.
+    fn targets(&self, now: Instant) -> Vec<Target> {
+        let heads: BTreeSet<&str> = self
+            .machine
+            .groups
+            .values()
+            .flat_map(|group| group.members.iter().map(|member| member.id.as_str()))
+            .collect();
+        let mut targets = Vec::new();
+        for group in self.machine.groups.values().filter(|group| !group.doomed) {
+            let Some(head) = group.head() else { continue };
+            let Some(known) = self.endpoints.find(&head.id) else { continue };
+            let progress = self.feed.progress.get(&*head.id);
+            let moves = progress.is_some_and(|at| now.since(*at) < REPORT_TTL);
+            let open = known.beat.stage_in(&group.name, group.epoch) == Some(Stage::Open);
+            let alive = known.is_usable(now, VIEW_TTL) || (moves && !known.beat.draining);
+            if open && alive && known.beat.born == head.born {
+                targets.push(target(&known.beat, &group.model, &group.name));
+            }
+        }
+        for (id, known) in self.endpoints.iter() {
+            let beat = &known.beat;
+            let engine = self.document.services.get(&*beat.service);
+            let plain = engine.is_some_and(|service| service.engine.is_none());
+            if plain && !heads.contains(&**id) && known.is_usable(now, VIEW_TTL) {
+                targets.push(target(beat, "", ""));
+            }
+        }
+        targets
+    }
+}
+
+fn target(beat: &crate::endpoint::Beat, model: &str, group: &str) -> Target {
+    Target {
+        id: beat.id.clone(),
+        address: beat.address.clone(),
+        service: beat.service.clone(),
+        model: model.to_owned(),
+        group: group.to_owned(),
+        zone: beat.zone.clone(),
+        slots: beat.slots,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/document/check.rs
@@ -0,0 +1,114 @@
+//! Validation of a draft.
+
+use std::collections::HashSet;
+
+use displaydoc::Display;
+
+use crate::Name;
+
+use super::{Draft, Route};
+
+/// What is wrong with a draft, with its place.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Finding {
+    /// {place}: {detail}
+    Malformed {
+        /// Path of the field.
+        place: String,
+        /// What is wrong with it.
+        detail: String,
+    },
+    /// routes.{route}: names the unknown service {service}
+    UnknownService {
+        /// Name of the route.
+        route: Name,
+        /// Name of the service.
+        service: Name,
+    },
+    /// routes.{route}: another route has the same host and prefix
+    SamePlace {
+        /// Name of the route.
+        route: Name,
+    },
+    /// routes.{route}: the weights add up to 0
+    NoWeight {
+        /// Name of the route.
+        route: Name,
+    },
+    /// routes.{route}: the timeout is 0
+    NoTimeout {
+        /// Name of the route.
+        route: Name,
+    },
+    /// routes.{route}: the prefix must begin and end with a slash
+    Prefix {
+        /// Name of the route.
+        route: Name,
+    },
+    /// services.{service}: is named twice
+    SameService {
+        /// Name of the service.
+        service: Name,
+    },
+    /// workspaces.{workspace}: shares a key with another workspace
+    SharedKey {
+        /// Name of the workspace.
+        workspace: Name,
+    },
+}
+
+/// Collects everything that is wrong with a draft.
+pub(super) fn check(draft: &Draft) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    check_services(draft, &mut findings);
+    let services: HashSet<&Name> = draft.services.iter().map(|service| &service.name).collect();
+    let mut places = HashSet::new();
+    for route in &draft.routes {
+        check_route(route, &services, &mut findings);
+        if !places.insert((&route.host, &route.prefix)) {
+            findings.push(Finding::SamePlace { route: route.name.clone() });
+        }
+    }
+    check_keys(draft, &mut findings);
+    findings
+}
+
+fn check_services(draft: &Draft, findings: &mut Vec<Finding>) {
+    let mut names = HashSet::new();
+    for service in &draft.services {
+        if !names.insert(&service.name) {
+            findings.push(Finding::SameService { service: service.name.clone() });
+        }
+    }
+}
+
+fn check_route(route: &Route, services: &HashSet<&Name>, findings: &mut Vec<Finding>) {
+    let name = || route.name.clone();
+    for share in &route.split {
+        if !services.contains(&share.service) {
+            let service = share.service.clone();
+            findings.push(Finding::UnknownService { route: name(), service });
+        }
+    }
+    if route.split.iter().all(|share| share.weight == 0) {
+        findings.push(Finding::NoWeight { route: name() });
+    }
+    if route.timeout.is_zero() {
+        findings.push(Finding::NoTimeout { route: name() });
+    }
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        findings.push(Finding::Prefix { route: name() });
+    }
+}
+
+fn check_keys(draft: &Draft, findings: &mut Vec<Finding>) {
+    let mut holders = std::collections::HashMap::new();
+    for workspace in draft.workspaces.iter().flatten() {
+        for key in &workspace.keys {
+            let holder = holders.insert(key, &workspace.name);
+            if holder.is_some_and(|holder| *holder != workspace.name) {
+                findings.push(Finding::SharedKey { workspace: workspace.name.clone() });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/endpoint.rs
@@ -0,0 +1,118 @@
+//! What endpoints say of themselves.
+
+use prost::Message;
+
+use crate::Name;
+
+/// Whether an endpoint takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// Takes new work.
+    Ready,
+    /// Is about to stop.
+    Draining,
+}
+
+/// Stage of an endpoint within its serving group.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    prost::Enumeration,
+    strum::Display,
+    strum::EnumString,
+)]
+#[strum(serialize_all = "snake_case")]
+#[repr(i32)]
+pub enum Stage {
+    /// Loads the model.
+    Joining = 0,
+    /// Has the model in memory.
+    Ready = 1,
+    /// Is the head and takes requests.
+    Open = 2,
+    /// Is the head, finishes what runs and takes nothing new.
+    Closing = 3,
+    /// Is the head and has lost a member.
+    Broken = 4,
+}
+
+/// Serving group that an endpoint belongs to, by its own words.
+#[derive(Clone, PartialEq, Message)]
+pub struct Membership {
+    /// Name of the group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Generation of the group.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Stage within the group.
+    #[prost(enumeration = "Stage", tag = "3")]
+    pub stage: i32,
+}
+
+/// A heartbeat of an endpoint.
+#[derive(Clone, PartialEq, Message)]
+pub struct Beat {
+    /// Identity of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Service that it belongs to.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// IP address and port of its listener.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Availability zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Fabric domain, empty if it has none.
+    #[prost(string, tag = "5")]
+    pub domain: String,
+    /// Unix milliseconds of its start; tells incarnations of one identity apart.
+    #[prost(uint64, tag = "6")]
+    pub born: u64,
+    /// Grows with each heartbeat of one incarnation.
+    #[prost(uint64, tag = "7")]
+    pub sequence: u64,
+    /// Requests that it runs at once.
+    #[prost(uint32, tag = "8")]
+    pub slots: u32,
+    /// Whether it is about to stop.
+    #[prost(bool, tag = "9")]
+    pub draining: bool,
+    /// Models on its VM.
+    #[prost(string, repeated, tag = "10")]
+    pub staged: Vec<String>,
+    /// Its serving group.
+    #[prost(message, optional, tag = "11")]
+    pub membership: Option<Membership>,
+    /// Whether it has ended.
+    #[prost(bool, tag = "12")]
+    pub gone: bool,
+}
+
+impl Beat {
+    /// Whether this was said after `other` by the same identity.
+    pub fn supersedes(&self, other: &Beat) -> bool {
+        (self.born, self.sequence) > (other.born, other.sequence)
+    }
+
+    /// Stage in the given group and epoch; none if it is in another or in none.
+    pub fn stage_in(&self, group: &str, epoch: u64) -> Option<Stage> {
+        let membership = self.membership.as_ref()?;
+        let same = membership.group == group && membership.epoch == epoch;
+        same.then(|| membership.stage())
+    }
+
+    /// Name of the service.
+    pub fn service_name(&self) -> Name {
+        self.service.as_str().into()
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,7 +10,7 @@
 //! sync is final: the caller has to end the process, because what the disk then holds is unknown.
 
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use displaydoc::Display;
 use dotterelhoist_core::replica::{Stored, Write};
@@ -20,7 +20,8 @@
 mod record;
 mod tail;
 
-use self::disk::Disk;
+use self::disk::{Disk, Folder};
+use self::identity::Identity;
 use self::tail::Tail;
 
 /// File that holds the newest snapshot.
@@ -104,4 +105,49 @@
         }
         self.tail.append(&mut self.disk, &batch)
     }
+
+    /// Restores the files after a write that failed: what had been synced before is written to a new
+    /// file, so that nothing of the failed write stays behind.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error; the call may be repeated.
+    pub fn recover(&mut self) -> Result<(), Error> {
+        self.tail.rebuild(&mut self.disk)
+    }
+}
+
+/// The files of one replica, open and locked.
+#[derive(Debug)]
+pub struct Files {
+    /// Where the replica writes.
+    pub store: Store<Folder>,
+    /// Identity of the disk.
+    pub identity: Identity,
+    /// What the files hold.
+    pub stored: Stored,
+}
+
+impl Files {
+    /// Opens the folder of a replica that `daemon` hosts. `found` makes a new folder the one of a
+    /// founder; without it a daemon with a new folder returns as a learner under the random number
+    /// `draw`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error, or the place of the damage.
+    pub fn open(path: &Path, daemon: &str, found: bool, draw: u64) -> Result<Files, Error> {
+        let mut folder = Folder::open(path)?;
+        let identity = match identity::read(&mut folder)? {
+            Some(identity) => identity,
+            None => {
+                let number = if found { 0 } else { draw.max(1) };
+                let identity = Identity { daemon: daemon.to_owned(), number };
+                identity::write(&mut folder, &identity)?;
+                identity
+            }
+        };
+        let (store, stored) = Store::open(folder)?;
+        Ok(Files { store, identity, stored })
+    }
 }
--- a/crates/store/src/tail.rs
+++ b/crates/store/src/tail.rs
@@ -85,6 +85,14 @@
         Files: Disk,
     {
         self.cover(snapshot);
+        self.rebuild(disk)
+    }
+
+    /// Writes the file anew with what it held when it was last synced.
+    pub(crate) fn rebuild<Files>(&mut self, disk: &mut Files) -> Result<(), Error>
+    where
+        Files: Disk,
+    {
         let batch = Batch {
             ballot: Some(self.ballot.clone()),
             entries: self.entries.values().cloned().collect(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! ends the connection: the other side is then not speaking this protocol.
 
 use std::io;
+use std::marker::PhantomData;
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -39,19 +40,21 @@
 
 /// A connection that carries frames in both directions.
 #[derive(Debug)]
-pub struct Connection<Stream> {
+pub struct Connection<Stream, Item = Frame> {
     framed: Framed<Compat<Stream>, LengthDelimitedCodec>,
+    item: PhantomData<Item>,
 }
 
-impl<Stream> Connection<Stream>
+impl<Stream, Item> Connection<Stream, Item>
 where
     Stream: AsyncRead + AsyncWrite + Unpin,
+    Item: Message + Default,
 {
     /// Puts frames on a stream.
-    pub fn open(stream: Stream) -> Connection<Stream> {
+    pub fn open(stream: Stream) -> Connection<Stream, Item> {
         let mut codec = LengthDelimitedCodec::new();
         codec.set_max_frame_length(FRAME_MAX);
-        Connection { framed: Framed::new(stream.compat(), codec) }
+        Connection { framed: Framed::new(stream.compat(), codec), item: PhantomData }
     }
 
     /// Puts a frame into the send buffer.
@@ -59,7 +62,7 @@
     /// # Errors
     ///
     /// Returns the stream's error; the connection is then of no further use.
-    pub async fn feed(&mut self, frame: &Frame) -> Result<(), Error> {
+    pub async fn feed(&mut self, frame: &Item) -> Result<(), Error> {
         Ok(self.framed.feed(encode(frame)).await?)
     }
 
@@ -77,7 +80,7 @@
     /// # Errors
     ///
     /// Returns the stream's error, or what is wrong with the frame.
-    pub async fn receive(&mut self) -> Result<Option<Frame>, Error> {
+    pub async fn receive(&mut self) -> Result<Option<Item>, Error> {
         match self.framed.next().await {
             None => Ok(None),
             Some(bytes) => decode(&bytes?).map(Some),
@@ -92,9 +95,13 @@
 ///
 /// let frame = Frame { sent: 7, echo: 3, body: None };
 /// let bytes = dotterelhoist_wire::encode(&frame);
-/// assert_eq!(dotterelhoist_wire::decode(&bytes.into()).unwrap(), frame);
+/// let decoded: Frame = dotterelhoist_wire::decode(&bytes.into()).unwrap();
+/// assert_eq!(decoded, frame);
 /// ```
-pub fn encode(frame: &Frame) -> Bytes {
+pub fn encode<Item>(frame: &Item) -> Bytes
+where
+    Item: Message,
+{
     frame.encode_to_vec().into()
 }
 
@@ -103,6 +110,9 @@
 /// # Errors
 ///
 /// Returns what is wrong with the bytes.
-pub fn decode(bytes: &BytesMut) -> Result<Frame, Error> {
-    Frame::decode(bytes.as_ref()).map_err(Error::Decode)
+pub fn decode<Item>(bytes: &BytesMut) -> Result<Item, Error>
+where
+    Item: Message + Default,
+{
+    Item::decode(bytes.as_ref()).map_err(Error::Decode)
 }
