Plan groups by equal load, keep the other model on each VM, and free members only on proof

An order to leave that was refused counted as left. Ruled out: late orders (epochs), a leader change (one leader through the cut). Change: a head counts as ended only when it has left, was born again, or its address has another endpoint; targets share endpoints so that groups are equally busy; groups are formed only of endpoints that need no load once there is traffic; members' VMs hold the other model; groups of a model with too many are dissolved for one that lacks them.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -39,6 +39,14 @@
 /// Time between two batches of heartbeats to the other control daemons.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time constants of the log: a group that loses a member waits for a leader, so leaders change fast.
+const TIMING: Timing = Timing {
+    heartbeat: Duration::from_millis(80),
+    election: Duration::from_millis(800),
+    jitter: Duration::from_millis(600),
+    lease: Duration::from_millis(560),
+};
+
 /// Reads a document from an operator's bytes.
 pub trait Reader {
     /// Decodes and validates a document.
@@ -205,7 +213,7 @@
     ) -> State<Decoder> {
         let mut outputs = Vec::new();
         let founders = setup.founders.clone();
-        let timing = Timing::default();
+        let timing = TIMING;
         let mut replica = Replica::open(identity, founders, timing, stored, now, &mut outputs);
         replica.set_capacity(setup.voters);
         let mut state = State {
@@ -396,9 +404,6 @@
         }
         if known.silent.is_none() {
             known.silent = Some(now);
-            if refused {
-                known.beat.gone = true;
-            }
             let detail = format!("refused={refused} age_ms={}", now.since(known.heard).as_millis());
             let event = journal::Event::new(211, "endpoint does not answer", &**id, detail);
             effects.push(Effect::Log(event));
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -22,8 +22,11 @@
     pub heard: Instant,
     /// When it was last found not to answer; none once it is heard of again.
     pub silent: Option<Instant>,
-    /// Time until which it must not join another group.
-    pub reserved: Instant,
+    /// Model of the last group that it was ready in since its start.
+    pub served: Option<Name>,
+    /// Whether another endpoint has started at its address, which proves that it has ended. That its
+    /// address refuses connections proves nothing: a cut may reset them.
+    pub dead: bool,
 }
 
 /// All endpoints by identity.
@@ -45,7 +48,8 @@
             known.heard = known.heard.max(heard);
             known.silent = None;
             if reborn {
-                known.reserved = Instant::default();
+                known.served = None;
+                known.dead = false;
             }
             return true;
         }
@@ -55,8 +59,9 @@
         }
         for other in self.known.values_mut().filter(|other| reused(other)) {
             other.beat.gone = true;
+            other.dead = true;
         }
-        let known = Known { beat, heard, silent: None, reserved: Instant::default() };
+        let known = Known { beat, heard, silent: None, served: None, dead: false };
         self.known.insert(id, known);
         true
     }
@@ -96,6 +101,12 @@
         !self.beat.gone && self.silent.is_none() && now.since(self.heard) < span
     }
 
+    /// Whether it can serve a model without a load from the weight store.
+    pub fn is_warm(&self, model: &str) -> bool {
+        self.served.as_deref() == Some(model)
+            || self.beat.staged.iter().any(|staged| staged == model)
+    }
+
     /// Whether it takes new work.
     pub fn is_usable(&self, now: Instant, span: Duration) -> bool {
         self.is_alive(now, span) && !self.beat.draining
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -21,7 +21,7 @@
 use crate::order::{Order, Outcome, Task};
 use crate::Name;
 
-use super::endpoints::{Known, Table};
+use super::endpoints::Table;
 use super::feeding::Demands;
 use super::machine::{Change, Doom, Group, Machine, Member};
 use super::Effect;
@@ -35,6 +35,8 @@
 const FORM_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time for which a draining member's group may finish what runs.
 const GRACEFUL_CLOSE: Duration = Duration::from_secs(8);
+/// Time for which only the head of a doomed group is asked to let go, while it answers.
+const HEAD_PATIENCE: Duration = Duration::from_secs(3);
 /// Time for which a sign of progress of the head speaks for all members.
 const PROGRESS_TTL: Duration = Duration::from_millis(1500);
 /// Time between two probes of one endpoint.
@@ -135,6 +137,8 @@
     proposed: BTreeMap<Name, Instant>,
     loads: staging::Ceiling,
     staged: BTreeMap<Name, Instant>,
+    /// When a group was last dissolved for another.
+    converted: Option<Instant>,
     /// Number of endpoints, and since when it has been the same.
     counted: Option<(usize, Instant)>,
 }
@@ -152,6 +156,7 @@
             proposed: BTreeMap::new(),
             loads: staging::Ceiling::default(),
             staged: BTreeMap::new(),
+            converted: None,
             counted: None,
         }
     }
@@ -204,7 +209,6 @@
         if outcome == Outcome::Refused {
             if let Some(known) = endpoints.find_mut(id) {
                 known.silent.get_or_insert(now);
-                known.beat.gone = true;
             }
         }
         let Some(tended) = self.tended.get_mut(&pending.group) else { return };
@@ -213,10 +217,8 @@
             (Purpose::Close, Outcome::Done | Outcome::Unfit | Outcome::Misdirected) => {
                 tended.closed = true;
             }
-            (Purpose::Leave, Outcome::Taken | Outcome::Done) => {
-                tended.left.insert(pending.endpoint, now);
-            }
-            (Purpose::Leave, Outcome::Unfit | Outcome::Misdirected | Outcome::Refused) => {
+            (Purpose::Leave, Outcome::Unanswered | Outcome::Refused | Outcome::Outdated) => {}
+            (Purpose::Leave, _) => {
                 tended.left.insert(pending.endpoint, now);
             }
             _ => {}
@@ -273,6 +275,12 @@
                 known.beat.stage_in(&group.name, group.epoch)
             })
             .collect();
+        for (member, stage) in group.members.iter().zip(&stages) {
+            let served = matches!(stage, Some(Stage::Ready | Stage::Open));
+            if let Some(known) = field.endpoints.find_mut(&member.id).filter(|_| served) {
+                known.served = Some(group.model.as_str().into());
+            }
+        }
         if stages.first().is_some_and(|stage| matches!(stage, Some(Stage::Open))) {
             if let Some(tended) = self.tended.get_mut(&name) {
                 tended.opened = true;
@@ -323,14 +331,14 @@
             if known.beat.born != member.born {
                 return Some(Loss::Reborn);
             }
-            if known.beat.gone && !moves {
+            if known.dead {
                 return Some(Loss::Gone);
             }
             if known.beat.draining || known.beat.gone {
                 return Some(Loss::Draining);
             }
             let silent = known.silent.is_some() || now.since(known.heard) > self.times.lost();
-            if silent && !moves && !settling {
+            if silent && !moves {
                 return Some(Loss::Silent);
             }
         }
@@ -393,12 +401,16 @@
             changes.push(Change::Remove(group.name.clone()));
             return;
         }
+        let graceful = group.graceful && now.since(began) < GRACEFUL_CLOSE;
         let answers = field.endpoints.find(&head.id).is_some_and(|known| {
-            known.beat.born == head.born && known.is_alive(now, self.times.lost())
+            let heard = now.since(known.heard) < self.times.lost() || known.beat.gone;
+            known.beat.born == head.born && known.silent.is_none() && heard
         });
+        let patience = if group.graceful { GRACEFUL_CLOSE + HEAD_PATIENCE } else { HEAD_PATIENCE };
         if answers {
-            let graceful = group.graceful && now.since(began) < GRACEFUL_CLOSE;
             self.release_head(field, group, head, !graceful, effects);
+        }
+        if answers && now.since(began) < patience {
             return;
         }
         for member in group.members.iter().skip(1) {
@@ -453,7 +465,7 @@
             return true;
         }
         let Some(known) = field.endpoints.find(&head.id) else { return false };
-        if known.beat.born != head.born || known.beat.gone {
+        if known.beat.born != head.born || known.dead {
             return true;
         }
         let stalled = self.times.stall + Duration::from_millis(500);
@@ -476,7 +488,7 @@
     ) {
         let id: Name = member.id.as_str().into();
         let Some(known) = field.endpoints.find(&id) else { return };
-        if known.beat.gone || known.beat.born != member.born {
+        if known.dead || known.beat.born != member.born {
             return;
         }
         let key = (id.clone(), purpose.clone());
@@ -509,7 +521,7 @@
     /// may begin.
     fn may_load(&mut self, field: &Field<'_>, group: &Group, member: &Member) -> bool {
         let Some(known) = field.endpoints.find(&member.id) else { return false };
-        if holds(known, &group.model) || !field.traffic {
+        if known.is_warm(&group.model) || !field.traffic {
             return true;
         }
         let key = (member.id.as_str().into(), Purpose::Join);
@@ -519,7 +531,7 @@
         }
         let service = field.document.services.get(&*group.service);
         let rate = service.and_then(|service| service.engine.as_ref());
-        self.loads.take(field.now, rate.map_or(1.0, |engine| engine.loads_per_s))
+        self.loads.take(field.now, rate.map_or(1.0, |engine| engine.loads_per_s), 0.0)
     }
 }
 
@@ -556,12 +568,10 @@
     }
 }
 
-/// Whether entry daemons have just seen a head make progress, which it can't without its members.
+/// Whether entry daemons have just seen a head make progress, which it can't without its members,
+/// and none has suspected it since.
 fn moves(field: &Field<'_>, head: &Name) -> bool {
-    field.progress.get(head).is_some_and(|at| field.now.since(*at) < PROGRESS_TTL)
-}
-
-/// Whether a model is on the VM of an endpoint.
-fn holds(known: &Known, model: &str) -> bool {
-    known.beat.staged.iter().any(|staged| staged == model)
+    let Some(moved) = field.progress.get(head) else { return false };
+    let suspected = field.suspects.get(head).is_some_and(|at| at > moved);
+    field.now.since(*moved) < PROGRESS_TTL && !suspected
 }
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -1,28 +1,52 @@
-//! Which groups to form of which free endpoints.
+//! Which groups to form of which free endpoints, and which to dissolve for others.
+//!
+//! [`targets`] shares all endpoints of a service among its models, so that the groups of each are
+//! equally busy. Groups are formed towards these numbers, the largest first and spread over the fabric
+//! domains. Where a model lacks groups that no domain has free endpoints for, a group of a model
+//! that has more than its share is dissolved ([`Planner::convert`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use smallvec::SmallVec;
+use dotterelhoist_core::clock::Instant;
 
 use crate::document::{Engine, Model, Service};
 use crate::journal;
 use crate::Name;
 
 use super::super::endpoints::Known;
-use super::super::machine::{Change, Member, Place};
+use super::super::machine::{Change, Doom, Group, Member, Place};
 use super::super::Effect;
-use super::{holds, Field, Planner};
+use super::{Field, Planner};
 
 /// Time after which a proposed group that was not applied may be proposed again.
 const PROPOSE_AGAIN: Duration = Duration::from_millis(800);
-/// Part of a model's groups that its demand keeps busy above which the last spares are used.
-const BUSY: f64 = 0.75;
-/// Spares to keep in each fabric domain while demand allows.
-const SPARES: usize = 1;
+/// Time between two times that groups are dissolved for others.
+const CONVERT_AGAIN: Duration = Duration::from_millis(2500);
+/// Groups that are dissolved for one other at most.
+const CONVERT_MOST: usize = 2;
+/// How much busier the groups of a model must be for a group of another to be dissolved for it.
+const CONVERT_GAIN: f64 = 1.3;
+/// Work that is assumed for each model besides what callers ask, in groups.
+const WANTED_MIN: f64 = 0.2;
 
-/// Free endpoints of a fabric domain.
-type Free = Vec<Name>;
+/// Free endpoints by fabric domain.
+pub(super) type Domains = BTreeMap<Name, Vec<Name>>;
+/// Number of groups by model.
+type Counts = BTreeMap<Name, usize>;
+
+/// What is wanted of the endpoints of a service.
+struct Plan<'a> {
+    service: &'a Service,
+    engine: &'a Engine,
+    targets: Counts,
+}
+
+/// Groups to dissolve for a model that lacks groups.
+struct Conversion<'a, 'b> {
+    model: &'a Model,
+    groups: Vec<&'b Group>,
+}
 
 impl Planner {
     /// Proposes groups of free endpoints.
@@ -41,17 +65,38 @@
         for service in document.services.values() {
             let Some(engine) = &service.engine else { continue };
             let mut domains = self.free(field, service);
-            let mut supply = supply(field, service);
-            while let Some((model, domain)) = choose(field, service, engine, &domains, &supply) {
-                let Some(free) = domains.get_mut(&domain) else { break };
-                let members = pick(field, free, model);
-                let place = self.place(field, service, model, &members);
-                let detail = format!("model={} members={members:?}", model.name);
-                let event = journal::Event::new(242, "group proposed", &*domain, detail);
-                effects.push(Effect::Log(event));
-                changes.push(Change::Place(place));
-                *supply.entry(model.name.clone()).or_default() += 1;
+            let mut counts = counts(field, service);
+            let targets = targets(field, service, engine, self.times.lost());
+            let plan = Plan { service, engine, targets };
+            self.form_all(field, &plan, &mut domains, &mut counts, true, changes, effects);
+            if self.convert(field, &plan, &domains, &counts, changes, effects) {
+                continue;
             }
+            self.form_all(field, &plan, &mut domains, &mut counts, false, changes, effects);
+        }
+    }
+
+    /// Proposes groups for as long as there are endpoints, only of models that lack groups if
+    /// `lacking` is set.
+    #[expect(clippy::too_many_arguments, reason = "the last two collect what follows")]
+    fn form_all(
+        &mut self,
+        field: &Field<'_>,
+        plan: &Plan<'_>,
+        domains: &mut Domains,
+        counts: &mut Counts,
+        lacking: bool,
+        changes: &mut Vec<Change>,
+        effects: &mut Vec<Effect>,
+    ) {
+        while let Some((model, domain)) = choose(field, plan, domains, counts, lacking) {
+            let Some(free) = domains.get_mut(&domain) else { break };
+            let members = pick(field, free, model);
+            let place = self.place(field, plan.service, model, &members);
+            let detail = format!("model={} members={members:?}", model.name);
+            effects.push(Effect::Log(journal::Event::new(242, "group proposed", &*domain, detail)));
+            changes.push(Change::Place(place));
+            *counts.entry(model.name.clone()).or_default() += 1;
         }
     }
 
@@ -72,18 +117,15 @@
     }
 
     /// Endpoints that are in no group and may join one, by fabric domain.
-    pub(super) fn free(&self, field: &Field<'_>, service: &Service) -> BTreeMap<Name, Free> {
+    pub(super) fn free(&self, field: &Field<'_>, service: &Service) -> Domains {
         let now = field.now;
-        let mut domains: BTreeMap<Name, Free> = BTreeMap::new();
+        let mut domains = Domains::new();
         for (id, known) in field.endpoints.iter() {
-            let beat = &known.beat;
-            let fits = *beat.service == *service.name
-                && known.is_usable(now, self.times.lost())
-                && now >= known.reserved
+            let fits = is_usable(known, service, now, self.times.lost())
                 && !self.proposed.contains_key(id)
                 && field.machine.holder(id).is_none();
             if fits {
-                domains.entry(beat.domain.as_str().into()).or_default().push(id.clone());
+                domains.entry(known.beat.domain.as_str().into()).or_default().push(id.clone());
             }
         }
         domains
@@ -110,63 +152,135 @@
             members: members.collect(),
         }
     }
+
+    /// Dissolves groups for a model whose groups are much busier, in a domain where their members and
+    /// the free endpoints are then enough; true if endpoints are to be left free for it.
+    fn convert(
+        &mut self,
+        field: &Field<'_>,
+        plan: &Plan<'_>,
+        domains: &Domains,
+        counts: &Counts,
+        changes: &mut Vec<Change>,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let now = field.now;
+        if !field.traffic {
+            return false;
+        }
+        let Some(conversion) = find_conversion(field, plan, domains, counts) else { return false };
+        let converting = |group: &Group| group.doomed && group.graceful;
+        let unsettled = field.machine.groups.values().any(converting);
+        let recent = self.converted.is_some_and(|at| now.since(at) < CONVERT_AGAIN);
+        if unsettled || recent || !self.proposed.is_empty() {
+            return true;
+        }
+        self.converted = Some(now);
+        for group in conversion.groups {
+            changes.push(Change::Doom(Doom { group: group.name.clone(), graceful: true }));
+            let poor = &conversion.model.name;
+            let detail = format!("model={} for={poor} counts={counts:?}", group.model);
+            let event =
+                journal::Event::new(243, "group dissolved for another", &*group.name, detail);
+            effects.push(Effect::Log(event));
+        }
+        true
+    }
+}
+
+fn is_usable(known: &Known, service: &Service, now: Instant, lost: Duration) -> bool {
+    *known.beat.service == *service.name && known.is_usable(now, lost)
 }
 
 /// Groups of each model that serve or are being formed.
-fn supply(field: &Field<'_>, service: &Service) -> BTreeMap<Name, usize> {
-    let mut supply = BTreeMap::new();
+fn counts(field: &Field<'_>, service: &Service) -> Counts {
+    let mut counts = Counts::new();
     for group in field.machine.groups.values() {
         if !group.doomed && *group.service == *service.name {
-            *supply.entry(Name::from(group.model.as_str())).or_default() += 1;
+            *counts.entry(group.model.as_str().into()).or_default() += 1;
         }
     }
-    supply
+    counts
 }
 
 /// Groups that a model's work keeps busy, by what callers ask or else by the expected share.
 pub(super) fn wanted(field: &Field<'_>, service: &Service, engine: &Engine, model: &Model) -> f64 {
-    let key = (service.name.clone(), model.name.clone());
-    let total: f64 = engine
-        .models
-        .iter()
-        .filter_map(|model| field.demand.get(&(service.name.clone(), model.name.clone())))
-        .sum();
-    if field.traffic && total > 0.5 {
-        return field.demand.get(&key).copied().unwrap_or(0.0) + 0.05;
+    let demand = |model: &Model| {
+        let key = (service.name.clone(), model.name.clone());
+        field.demand.get(&key).copied().unwrap_or(0.0)
+    };
+    let total: f64 = engine.models.iter().map(demand).sum();
+    if field.traffic && total > 1.0 {
+        return demand(model) + WANTED_MIN;
     }
     let shares: f64 = engine.models.iter().map(|model| model.share).sum();
     model.share / shares.max(f64::MIN_POSITIVE) / model.size.max(1) as f64
 }
 
-/// Chooses the model that lacks groups most among those that some domain has endpoints for, and the
-/// domain whose endpoints need the fewest loads.
-fn choose<'a>(
+/// Number of groups that each model should have: all usable endpoints are shared among the models,
+/// each group going to the model whose groups would be busiest.
+fn targets(field: &Field<'_>, service: &Service, engine: &Engine, lost: Duration) -> Counts {
+    let usable = field.endpoints.iter();
+    let usable = usable.filter(|(_, known)| is_usable(known, service, field.now, lost));
+    let mut left = usable.count();
+    let mut targets = Counts::new();
+    loop {
+        let busiest = engine.models.iter().filter(|model| model.size <= left).max_by(|a, b| {
+            let load = |model: &Model| busy(field, service, engine, model, &targets);
+            load(a).total_cmp(&load(b))
+        });
+        let Some(model) = busiest else { return targets };
+        left -= model.size;
+        *targets.entry(model.name.clone()).or_default() += 1;
+    }
+}
+
+/// Work of a model for each of its groups.
+fn busy(
     field: &Field<'_>,
     service: &Service,
-    engine: &'a Engine,
-    domains: &BTreeMap<Name, Free>,
-    supply: &BTreeMap<Name, usize>,
+    engine: &Engine,
+    model: &Model,
+    counts: &Counts,
+) -> f64 {
+    let groups = counts.get(&model.name).copied().unwrap_or(0) as f64;
+    wanted(field, service, engine, model) / (groups + 0.01)
+}
+
+/// Chooses a model, the largest of those that lack groups, else the busiest, and the domain with the
+/// most endpoints that can serve it at once.
+fn choose<'a>(
+    field: &Field<'_>,
+    plan: &Plan<'a>,
+    domains: &Domains,
+    counts: &Counts,
+    lacking: bool,
 ) -> Option<(&'a Model, Name)> {
-    let mut models: SmallVec<[(f64, &Model); 4]> = engine
-        .models
-        .iter()
-        .map(|model| {
-            let groups = supply.get(&model.name).copied().unwrap_or(0);
-            let wanted = wanted(field, service, engine, model);
-            (wanted / (groups as f64 + 0.01), model)
-        })
-        .collect();
-    models.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let Plan { service, engine, targets } = plan;
+    let lacks = |model: &Model| {
+        let count = counts.get(&model.name).copied().unwrap_or(0);
+        count < targets.get(&model.name).copied().unwrap_or(0)
+    };
+    let wanted = engine.models.iter().filter(|model| lacks(model) || !lacking);
+    let mut models: Vec<&Model> = wanted.collect();
+    let load = |model: &Model| busy(field, service, engine, model, counts);
+    models.sort_by(|a, b| {
+        let rank = |model: &Model| (lacks(model), if lacks(model) { model.size } else { 0 });
+        rank(b).cmp(&rank(a)).then(load(b).total_cmp(&load(a)))
+    });
     let releasing = releasing(field);
-    for (rank, (load, model)) in models.into_iter().enumerate() {
-        let spares = if field.traffic && load > BUSY { 0 } else { SPARES };
+    for model in models {
+        let waits = !lacks(model);
         let domain = domains
             .iter()
-            .filter(|(_, free)| free.len() >= model.size + spares)
-            .filter(|(name, _)| rank == 0 || !releasing.contains(*name))
-            .max_by_key(|(_, free)| {
-                let held = free.iter().filter(|id| has(field, id, &model.name)).count();
-                (held.min(model.size), free.len())
+            .filter(|(name, free)| {
+                let warm = warm(field, free, &model.name);
+                let fit = if field.traffic { warm } else { free.len() };
+                fit >= model.size && !(waits && releasing.contains(*name))
+            })
+            .max_by_key(|(name, free)| {
+                let same = has_group(field, name, &model.name);
+                (warm(field, free, &model.name).min(model.size), !same, free.len())
             });
         if let Some((domain, _)) = domain {
             return Some((model, domain.clone()));
@@ -175,21 +289,117 @@
     None
 }
 
+/// Whether a domain already has a group of a model.
+fn has_group(field: &Field<'_>, domain: &Name, model: &Name) -> bool {
+    let of_model = field.machine.groups.values().filter(|group| *group.model == **model);
+    let mut heads = of_model.filter_map(Group::head);
+    heads.any(|head| domain_of(field, &head.id).as_ref() == Some(domain))
+}
+
+fn domain_of(field: &Field<'_>, id: &str) -> Option<Name> {
+    Some(field.endpoints.find(id)?.beat.domain.as_str().into())
+}
+
 /// Fabric domains in which a group is being dissolved: its members are soon free, and until then only
-/// the model that lacks groups most takes endpoints there.
+/// a model that lacks groups takes endpoints there.
 fn releasing(field: &Field<'_>) -> BTreeSet<Name> {
     let doomed = field.machine.groups.values().filter(|group| group.doomed);
     let members = doomed.flat_map(|group| &group.members);
-    let known = members.filter_map(|member| field.endpoints.find(&member.id));
-    known.map(|known| known.beat.domain.as_str().into()).collect()
+    members.filter_map(|member| domain_of(field, &member.id)).collect()
+}
+
+/// Finds a model that lacks groups, and groups of another model to dissolve for it.
+fn find_conversion<'a, 'b>(
+    field: &'b Field<'_>,
+    plan: &Plan<'a>,
+    domains: &Domains,
+    counts: &Counts,
+) -> Option<Conversion<'a, 'b>> {
+    let Plan { service, engine, targets } = plan;
+    let count = |model: &Model| counts.get(&model.name).copied().unwrap_or(0);
+    let target = |model: &Model| targets.get(&model.name).copied().unwrap_or(0);
+    let load = |model: &Model| busy(field, service, engine, model, counts);
+    let poor = engine
+        .models
+        .iter()
+        .filter(|model| count(model) < target(model))
+        .max_by(|a, b| load(a).total_cmp(&load(b)))?;
+    let releasing = releasing(field);
+    let mut best: Option<Vec<&Group>> = None;
+    for rich in engine.models.iter().filter(|rich| rich.name != poor.name) {
+        for (domain, groups) in groups_by_domain(field, &rich.name) {
+            let free = domains.get(&domain).map(Vec::as_slice).unwrap_or_default();
+            let free = warm(field, free, &poor.name);
+            let Some(chosen) = enough(field, free, groups, poor) else { continue };
+            if releasing.contains(&domain) {
+                continue;
+            }
+            let needed = chosen.len();
+            if count(rich) <= needed {
+                continue;
+            }
+            let then = wanted(field, service, engine, rich) / (count(rich) - needed) as f64;
+            if load(poor) < then * CONVERT_GAIN {
+                continue;
+            }
+            if best.as_ref().is_none_or(|chosen| needed < chosen.len()) {
+                best = Some(chosen);
+            }
+        }
+    }
+    best.map(|groups| Conversion { model: poor, groups })
+}
+
+/// Groups of a model that take requests, by fabric domain.
+fn groups_by_domain<'b>(field: &'b Field<'_>, model: &Name) -> BTreeMap<Name, Vec<&'b Group>> {
+    let mut domains: BTreeMap<Name, Vec<&Group>> = BTreeMap::new();
+    let groups = field.machine.groups.values();
+    for group in groups.filter(|group| *group.model == **model && !group.doomed) {
+        let domain = group.head().and_then(|head| domain_of(field, &head.id));
+        if let Some(domain) = domain {
+            domains.entry(domain).or_default().push(group);
+        }
+    }
+    domains
+}
+
+/// The fewest groups whose members, with `free` other endpoints, can serve a model without a load.
+fn enough<'b>(
+    field: &Field<'_>,
+    free: usize,
+    groups: Vec<&'b Group>,
+    model: &Model,
+) -> Option<Vec<&'b Group>> {
+    let members = |group: &Group| {
+        let members = group.members.iter();
+        members.filter(|member| is_warm(field, &member.id, &model.name)).count()
+    };
+    let mut groups: Vec<(usize, &Group)> =
+        groups.into_iter().map(|group| (members(group), group)).collect();
+    groups.sort_by_key(|(warm, _)| std::cmp::Reverse(*warm));
+    let mut warm = free;
+    let mut chosen = Vec::new();
+    for (more, group) in groups.into_iter().take(CONVERT_MOST) {
+        warm += more;
+        chosen.push(group);
+        if warm >= model.size {
+            return Some(chosen);
+        }
+    }
+    None
+}
+
+/// Endpoints of a list that can serve a model without a load.
+fn warm(field: &Field<'_>, ids: &[Name], model: &str) -> usize {
+    ids.iter().filter(|id| is_warm(field, id, model)).count()
 }
 
-/// Takes the members of a new group out of the free endpoints: first those that hold the model.
-fn pick(field: &Field<'_>, free: &mut Free, model: &Model) -> Vec<Name> {
-    free.sort_by_key(|id| (!has(field, id, &model.name), id.clone()));
+/// Takes the members of a new group out of the free endpoints: first those that need no load.
+fn pick(field: &Field<'_>, free: &mut Vec<Name>, model: &Model) -> Vec<Name> {
+    free.sort_by_key(|id| (!is_warm(field, id, &model.name), id.clone()));
     free.drain(..model.size).collect()
 }
 
-fn has(field: &Field<'_>, id: &Name, model: &str) -> bool {
-    field.endpoints.find(id).is_some_and(|known: &Known| holds(known, model))
+fn is_warm(field: &Field<'_>, id: &str, model: &str) -> bool {
+    field.endpoints.find(id).is_some_and(|known| known.is_warm(model))
 }
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -14,9 +14,9 @@
 use super::queue::Need;
 
 /// Time without any part of an answer after which an endpoint with begun answers counts as stalled.
-const STALL: Duration = Duration::from_millis(800);
+const STALL: Duration = Duration::from_millis(600);
 /// The same for an endpoint whose requests have all not begun.
-const STALL_UNBEGUN: Duration = Duration::from_millis(1800);
+const STALL_UNBEGUN: Duration = Duration::from_millis(1200);
 /// First time for which a failing endpoint is left out.
 const EJECT_MIN: Duration = Duration::from_millis(500);
 /// Longest time for which a failing endpoint is left out.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -14,7 +14,7 @@
 /// Time for an order to be answered.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for a question for the state to be answered.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest head of an answer.
 const HEAD_MAX: usize = 16 << 10;
 /// Longest body of an answer.
