Pass operators' calls to the leader; test the control daemons over failures

A call that found no leader was refused at once. Ruled out: a lost commit (the leader had it in force 2.3 s after it was sent). Change: a daemon that does not lead passes the call on over its link, and lets it wait 0.9 s for a leader. Tests: 15 over a world of reducers and engines that check the group rules themselves; no kit needed. Before: no tests of the new packages.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -26,16 +26,17 @@
 pub mod machine;
 pub mod planner;
 
+mod operating;
+
 use self::feeding::Feed;
-use self::machine::{Change, Command, Machine, Put};
+use self::machine::{Change, Command, Machine};
+use self::operating::{Parked, Waiting};
 use self::planner::Planner;
 
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_ENTRIES: u64 = 400;
 /// Bytes of commands after which the log is replaced by a snapshot.
 const COMPACT_BYTES: usize = 8 << 20;
-/// Time for which an operator waits for a change to be committed.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time between two batches of heartbeats to the other control daemons.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -140,8 +141,6 @@
     Invalid(Vec<Finding>),
     /// The document in force.
     Document(Vec<u8>),
-    /// The daemon that can answer.
-    Elsewhere(Name),
     /// Nobody can answer for certain now.
     Unavailable,
 }
@@ -170,14 +169,6 @@
     Log(journal::Event),
 }
 
-/// A change that waits for its commit.
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    ticket: u64,
-    term: u64,
-    since: Instant,
-}
-
 /// The state of a control daemon.
 #[derive(Debug)]
 pub struct State<Decoder> {
@@ -191,6 +182,7 @@
     feed: Feed,
     controls: BTreeSet<Name>,
     waiting: BTreeMap<u64, Waiting>,
+    parked: Vec<Parked>,
     gossip: Vec<(Beat, Instant)>,
     gossip_due: Instant,
     log_bytes: usize,
@@ -226,6 +218,7 @@
             endpoints: endpoints::Table::default(),
             controls: BTreeSet::new(),
             waiting: BTreeMap::new(),
+            parked: Vec::new(),
             gossip: Vec::new(),
             gossip_due: now,
             log_bytes: 0,
@@ -258,8 +251,8 @@
             }
             Event::Beat(beat) => self.beat(now, *beat),
             Event::Deregistered(id) => self.deregistered(now, &id),
-            Event::Put { ticket, body } => self.put(now, ticket, body, effects),
-            Event::Get { ticket } => self.get(now, ticket, effects),
+            Event::Put { ticket, body } => self.operate(now, ticket, Some(body), effects),
+            Event::Get { ticket } => self.operate(now, ticket, None, effects),
             Event::Ordered { ticket, outcome } => {
                 self.planner.ordered(now, ticket, outcome, &mut self.endpoints, effects);
             }
@@ -287,6 +280,7 @@
         self.replica.tick(now, draw, &mut self.outputs);
         self.carry_out(now, effects);
         self.expire_waiting(now, effects);
+        self.serve_parked(now, effects);
         self.send_gossip(now, effects);
         self.endpoints.forget(now);
         let leads = self.replica.reads(now);
@@ -341,7 +335,8 @@
                 }
             }
             Body::Report(report) => self.report(now, &from, report),
-            Body::Ping(_) => effects.push(Effect::Send(from, Body::Pong(true))),
+            Body::Ask(ask) => self.take_ask(now, from, ask, effects),
+            Body::Told(told) => self.take_told(told, effects),
             _ => {}
         }
     }
@@ -411,67 +406,11 @@
         }
     }
 
-    fn put(&mut self, now: Instant, ticket: u64, body: Vec<u8>, effects: &mut Vec<Effect>) {
-        let version = match self.reader.read(&body) {
-            Ok(document) => document.version,
-            Err(findings) => {
-                let detail = findings.first().map(ToString::to_string).unwrap_or_default();
-                let event = journal::Event::new(221, "document refused", "operator", detail);
-                effects.push(Effect::Log(event));
-                effects.push(Effect::Answer(ticket, Answer::Invalid(findings)));
-                return;
-            }
-        };
-        if !self.replica.reads(now) {
-            effects.push(Effect::Answer(ticket, self.elsewhere()));
-            return;
-        }
-        if version <= self.machine.version() {
-            effects.push(Effect::Answer(ticket, Answer::Accepted));
-            return;
-        }
-        let put = Change::Put(Put { version, body });
-        match self.propose(now, put) {
-            Some(index) => {
-                let waiting = Waiting { ticket, term: self.replica.term(), since: now };
-                self.waiting.insert(index, waiting);
-            }
-            None => effects.push(Effect::Answer(ticket, Answer::Unavailable)),
-        }
-    }
-
-    fn get(&mut self, now: Instant, ticket: u64, effects: &mut Vec<Effect>) {
-        let answer = match &self.machine.document {
-            _ if !self.replica.reads(now) => self.elsewhere(),
-            Some(document) => Answer::Document(document.body.clone()),
-            None => Answer::Unavailable,
-        };
-        effects.push(Effect::Answer(ticket, answer));
-    }
-
-    fn elsewhere(&self) -> Answer {
-        match self.replica.leader() {
-            Some(leader) if *leader != self.setup.daemon => Answer::Elsewhere(leader.clone()),
-            _ => Answer::Unavailable,
-        }
-    }
-
     fn propose(&mut self, now: Instant, change: Change) -> Option<u64> {
         let command = Command { change: Some(change) };
         self.replica.propose(now, command.encode_to_vec(), &mut self.outputs)
     }
 
-    fn expire_waiting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let term = self.replica.term();
-        self.waiting.retain(|_, waiting| {
-            let keep = waiting.term == term && now.since(waiting.since) < COMMIT_TIMEOUT;
-            if !keep {
-                effects.push(Effect::Answer(waiting.ticket, Answer::Unavailable));
-            }
-            keep
-        });
-    }
-
     fn send_gossip(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         if self.gossip.is_empty() || now < self.gossip_due {
             return;
@@ -532,11 +471,7 @@
             }
             self.feed.touch();
         }
-        if let Some(waiting) = self.waiting.remove(&entry.index) {
-            let answer =
-                if waiting.term == entry.term { Answer::Accepted } else { Answer::Unavailable };
-            effects.push(Effect::Answer(waiting.ticket, answer));
-        }
+        self.settle(entry.index, entry.term, effects);
         self.feed_documents(now, effects);
     }
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -176,6 +176,31 @@
     pub progress: Vec<String>,
 }
 
+/// A call of an operator on its way to the leader.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    /// Chosen by the sender, echoed in [`Told`].
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// The document to put; none to read the one in force.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub body: Option<Vec<u8>>,
+}
+
+/// The leader's answer to an [`Ask`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Told {
+    /// Ticket of the question.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Whether the leader could answer.
+    #[prost(bool, tag = "2")]
+    pub answered: bool,
+    /// The document in force, if it was asked for.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub document: Option<Vec<u8>>,
+}
+
 /// Everything that one daemon sends to another.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Body {
@@ -203,6 +228,12 @@
     /// Requests that run at the endpoints of a view.
     #[prost(message, tag = "11")]
     Loads(Loads),
+    /// A call of an operator for the leader.
+    #[prost(message, tag = "12")]
+    Ask(Ask),
+    /// The leader's answer.
+    #[prost(message, tag = "13")]
+    Told(Told),
     /// Asks for a sign of life.
     #[prost(bool, tag = "9")]
     Ping(bool),
@@ -215,6 +246,6 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What is said.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
--- /dev/null
+++ b/crates/fleet/tests/control/main.rs
@@ -0,0 +1,236 @@
+//! Control daemons over failures: documents, groups, leaders.
+
+use std::time::Duration;
+
+use dotterelhoist_fleet::control::Answer;
+use dotterelhoist_fleet::Name;
+use rstest::rstest;
+
+mod world;
+
+use self::world::{names, World};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A deployment with a document and open groups.
+fn serving(domains: usize) -> World {
+    let mut world = World::open(domains);
+    assert!(world.run_until(SECOND * 5, |world| world.leader().is_some()), "no leader");
+    let first = names()[0].clone();
+    let ticket = world.put(&first, "1");
+    let accepted = |world: &World| world.answers.get(&ticket) == Some(&Answer::Accepted);
+    assert!(world.run_until(SECOND * 3, accepted), "the document was not accepted");
+    let wanted = domains * 2;
+    assert!(world.run_until(SECOND * 30, |world| world.open_groups() >= wanted), "no groups");
+    world.run(SECOND * 14);
+    world.traffic = true;
+    world.run(SECOND);
+    world
+}
+
+#[test]
+fn document_put_at_a_follower_is_accepted_and_read_everywhere() {
+    let mut world = serving(1);
+    for name in names() {
+        let put = world.put(&name, "7");
+        world.run(SECOND);
+        assert_eq!(world.answers.get(&put), Some(&Answer::Accepted), "put at {name}");
+        let read = world.read(&name);
+        world.run(SECOND);
+        assert_eq!(world.answers.get(&read), Some(&Answer::Document(b"7".to_vec())));
+    }
+}
+
+#[rstest]
+#[case::older("3")]
+#[case::same("7")]
+fn document_not_newer_is_acknowledged_and_changes_nothing(#[case] version: &str) {
+    let mut world = serving(1);
+    let first = names()[0].clone();
+    world.put(&first, "7");
+    world.run(SECOND);
+    let put = world.put(&first, version);
+    world.run(SECOND);
+    assert_eq!(world.answers.get(&put), Some(&Answer::Accepted));
+    let read = world.read(&first);
+    world.run(SECOND);
+    assert_eq!(world.answers.get(&read), Some(&Answer::Document(b"7".to_vec())));
+}
+
+#[test]
+fn document_malformed_is_refused_at_once() {
+    let mut world = serving(1);
+    let put = world.put(&names()[1], "x");
+    assert!(matches!(world.answers.get(&put), Some(Answer::Invalid(_))));
+}
+
+#[test]
+fn document_acknowledged_survives_the_leader() {
+    let mut world = serving(1);
+    let Some(leader) = world.leader() else { panic!("no leader") };
+    let put = world.put(&leader, "9");
+    let accepted = |world: &World| world.answers.contains_key(&put);
+    assert!(world.run_until(SECOND, accepted));
+    world.kill(&leader);
+    assert!(world.run_until(SECOND * 5, |world| world.leader().is_some()), "no new leader");
+    world.run(SECOND);
+    for name in names().iter().filter(|name| **name != leader) {
+        let read = world.read(name);
+        world.run(SECOND * 2);
+        assert_eq!(world.answers.get(&read), Some(&Answer::Document(b"9".to_vec())), "{name}");
+    }
+}
+
+#[test]
+fn document_read_without_quorum_is_unavailable() {
+    let mut world = serving(1);
+    let all = names();
+    world.kill(&all[0]);
+    world.kill(&all[1]);
+    world.run(SECOND * 2);
+    let read = world.read(&all[2]);
+    world.run(SECOND * 2);
+    assert_eq!(world.answers.get(&read), Some(&Answer::Unavailable));
+}
+
+#[test]
+fn voter_on_an_empty_disk_is_replaced_and_holds_the_document() {
+    let mut world = serving(1);
+    let put = world.put(&names()[0], "11");
+    world.run(SECOND);
+    assert_eq!(world.answers.get(&put), Some(&Answer::Accepted));
+    let lost = names()[2].clone();
+    world.kill(&lost);
+    world.run(SECOND);
+    world.disks.remove(&lost);
+    world.start(&lost, &format!("{lost}#77"));
+    world.run(SECOND * 5);
+    assert_eq!(world.daemons[&lost].machine().version(), 11);
+    let first = names()[0].clone();
+    world.kill(&first);
+    assert!(world.run_until(SECOND * 6, |world| world.leader().is_some()), "it has no vote");
+}
+
+#[test]
+fn groups_form_of_both_models_in_each_domain() {
+    let world = serving(3);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_groups() >= 6, "{} groups", world.open_groups());
+}
+
+#[test]
+fn group_that_loses_a_member_is_formed_anew() {
+    let mut world = serving(2);
+    let before = world.open_groups();
+    let Some(head) = world.heads().into_iter().find(|head| world.members(head).len() == 4) else {
+        panic!("no large group")
+    };
+    let member = world.members(&head)[2].clone();
+    if let Some(engine) = world.engines.get_mut(&member) {
+        engine.dead = true;
+    }
+    world.run(SECOND * 15);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_groups() >= before - 1, "{} of {before}", world.open_groups());
+}
+
+/// A cut may reset connections, so an address that refuses them proves nothing: the head may still
+/// take requests.
+#[test]
+fn head_cut_off_with_resets_keeps_its_members_from_other_groups() {
+    let mut world = serving(2);
+    for head in world.heads() {
+        for member in world.members(&head) {
+            if let Some(engine) = world.engines.get_mut(&member) {
+                engine.cut = true;
+            }
+        }
+    }
+    world.run(SECOND * 6);
+    let all: Vec<Name> = world.engines.keys().cloned().collect();
+    for id in &all {
+        if let Some(engine) = world.engines.get_mut(id) {
+            engine.cut = false;
+        }
+    }
+    world.run(SECOND * 20);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_groups() >= 4, "{} groups", world.open_groups());
+}
+
+#[test]
+fn head_that_says_that_it_ends_keeps_its_members_until_it_has_let_go() {
+    let mut world = serving(2);
+    for head in world.heads().into_iter().take(3) {
+        world.deregister(&head);
+    }
+    world.run(SECOND * 15);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn head_alone_cut_off_frees_its_members_after_the_stall_time() {
+    let mut world = serving(2);
+    let Some(head) = world.heads().into_iter().next() else { panic!("no group") };
+    if let Some(engine) = world.engines.get_mut(&head) {
+        engine.cut = true;
+    }
+    world.run(SECOND * 20);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn orders_carried_out_late_do_no_harm() {
+    let mut world = serving(2);
+    for _ in 0..4 {
+        let Some(head) = world.heads().into_iter().next() else { break };
+        let member = world.members(&head).last().cloned();
+        if let Some(engine) = member.and_then(|member| world.engines.get_mut(&member)) {
+            engine.dead = true;
+        }
+        world.late_orders = true;
+        world.run(SECOND * 3);
+        world.late_orders = false;
+        world.run(SECOND * 3);
+    }
+    world.run(SECOND * 30);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn engines_reborn_under_their_identity_are_placed_anew() {
+    let mut world = serving(2);
+    let all: Vec<Name> = world.engines.keys().take(8).cloned().collect();
+    for id in &all {
+        if let Some(engine) = world.engines.get_mut(id) {
+            engine.dead = true;
+        }
+    }
+    world.run(SECOND * 3);
+    for id in &all {
+        world.revive(id);
+    }
+    world.run(SECOND * 25);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_groups() >= 5, "{} groups", world.open_groups());
+}
+
+#[test]
+fn leader_killed_while_groups_are_dissolved_leaves_them_safe() {
+    let mut world = serving(2);
+    for round in 0..3 {
+        let Some(head) = world.heads().into_iter().next() else { break };
+        let member = world.members(&head).last().cloned();
+        if let Some(engine) = member.and_then(|member| world.engines.get_mut(&member)) {
+            engine.dead = true;
+        }
+        world.run(Duration::from_millis(3100 + 100 * round));
+        let Some(leader) = world.leader() else { continue };
+        world.kill(&leader);
+        world.run(SECOND / 2);
+        world.start(&leader, &format!("{leader}#0"));
+        world.run(SECOND * 6);
+    }
+    world.run(SECOND * 10);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
--- /dev/null
+++ b/crates/fleet/tests/control/world.rs
@@ -0,0 +1,564 @@
+//! Three control daemons and the endpoints of a service, without sockets or clocks.
+//!
+//! Each step is 25 ms. Messages arrive one step later. Endpoints carry out orders as the published
+//! protocol says and check, at each join and open, what must always hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dotterelhoist_core::clock::Instant;
+use dotterelhoist_core::replica::message::Voter;
+use dotterelhoist_core::replica::{Identity, Stored, Write};
+use dotterelhoist_fleet::control::planner::Times;
+use dotterelhoist_fleet::control::{Answer, Effect, Event, Reader, Setup, State};
+use dotterelhoist_fleet::document::{
+    Document, Draft, Engine as EngineModel, Finding, Model, Service,
+};
+use dotterelhoist_fleet::endpoint::{Beat, Membership, Stage};
+use dotterelhoist_fleet::message::{Body, Hello, Report};
+use dotterelhoist_fleet::order::{Order, Outcome, Task};
+use dotterelhoist_fleet::Name;
+
+pub const STEP: Duration = Duration::from_millis(25);
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+pub const STALL: Duration = Duration::from_millis(4000);
+const WARM: Duration = Duration::from_millis(1500);
+const LOAD: Duration = Duration::from_millis(12_000);
+pub const LARGE: &str = "large";
+pub const SMALL: &str = "small";
+
+/// Reads documents whose body is just a version; `x` is malformed.
+#[derive(Clone, Debug)]
+pub struct Versions;
+
+impl Reader for Versions {
+    fn read(&self, bytes: &[u8]) -> Result<Document, Vec<Finding>> {
+        let text = String::from_utf8_lossy(bytes);
+        let Ok(version) = text.parse() else {
+            let place = "version".to_owned();
+            return Err(vec![Finding::Malformed { place, detail: text.into_owned() }]);
+        };
+        Document::build(Draft { version, services: vec![service()], ..Draft::default() })
+    }
+}
+
+fn service() -> Service {
+    let model = |name: &str, size, share, pace| Model {
+        name: name.into(),
+        size,
+        share,
+        pace,
+        load: LOAD,
+        warm: WARM,
+    };
+    let engine = EngineModel {
+        slots: 26,
+        models: vec![model(LARGE, 4, 0.67, 1.0), model(SMALL, 2, 0.33, 0.6)],
+        step_ms: 6.0,
+        per_sequence_ms: 0.24,
+        read_per_s: 46_000.0,
+        loads_per_s: 4.0,
+        usual_prompt: 1000.0,
+        usual_answer: 100.0,
+    };
+    Service { name: "llm".into(), connections: 100, engine: Some(engine) }
+}
+
+/// A model engine.
+#[derive(Debug)]
+pub struct Engine {
+    pub id: Name,
+    domain: String,
+    born: u64,
+    sequence: u64,
+    /// Does not run.
+    pub dead: bool,
+    /// Is cut off from control daemons; connections to it are reset.
+    pub cut: bool,
+    pub membership: Option<Membership>,
+    members: Vec<Name>,
+    ready_at: Instant,
+    served: Option<String>,
+    staged: Option<String>,
+    beat_due: Instant,
+    epoch_seen: u64,
+    leaves_at: Option<Instant>,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub daemons: BTreeMap<Name, State<Versions>>,
+    pub disks: BTreeMap<Name, Stored>,
+    pub down: BTreeSet<Name>,
+    pub engines: BTreeMap<Name, Engine>,
+    pub answers: BTreeMap<u64, Answer>,
+    /// What must never happen and has happened.
+    pub broken: Vec<String>,
+    /// Whether orders are lost and carried out twelve seconds later.
+    pub late_orders: bool,
+    pub traffic: bool,
+    inbox: Vec<(Name, Event)>,
+    late: Vec<(Instant, Order)>,
+    ready: BTreeSet<(Name, String, u64)>,
+    draw: u64,
+    next: u64,
+}
+
+impl World {
+    /// Opens three control daemons in front of `domains` fabric domains of eight engines each.
+    pub fn open(domains: usize) -> World {
+        let mut world = World {
+            now: Instant::from_millis(3_600_000),
+            daemons: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            down: BTreeSet::new(),
+            engines: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            broken: Vec::new(),
+            late_orders: false,
+            traffic: false,
+            inbox: Vec::new(),
+            late: Vec::new(),
+            ready: BTreeSet::new(),
+            draw: 0x9e37_79b9_7f4a_7c15,
+            next: 1,
+        };
+        for at in 0..domains * 8 {
+            world.add_engine(at, &format!("d{}", at / 8));
+        }
+        for name in names() {
+            world.start(&name, &format!("{name}#0"));
+        }
+        world
+    }
+
+    fn add_engine(&mut self, at: usize, domain: &str) {
+        let id: Name = format!("e{at:02}").into();
+        let engine = Engine {
+            id: id.clone(),
+            domain: domain.to_owned(),
+            born: 1,
+            sequence: 0,
+            dead: false,
+            cut: false,
+            membership: None,
+            members: Vec::new(),
+            ready_at: self.now,
+            served: None,
+            staged: None,
+            beat_due: self.now + Duration::from_millis(at as u64 * 25),
+            epoch_seen: 0,
+            leaves_at: None,
+        };
+        self.engines.insert(id, engine);
+    }
+
+    /// Starts a control daemon from what its disk holds.
+    pub fn start(&mut self, name: &Name, replica: &str) {
+        let setup = Setup {
+            daemon: name.clone(),
+            zone: "z".into(),
+            founders: names().iter().map(founder).collect(),
+            seeds: names(),
+            voters: 3,
+            times: Times { heartbeat: HEARTBEAT, stall: STALL },
+        };
+        let identity =
+            Identity { replica: replica.into(), daemon: name.clone(), weight: 1, stands: true };
+        let stored = self.disks.entry(name.clone()).or_default().clone();
+        let mut effects = Vec::new();
+        let state = State::open(setup, Versions, identity, stored, self.now, &mut effects);
+        self.daemons.insert(name.clone(), state);
+        self.down.remove(name);
+        self.carry_out(name, effects);
+        let hello = Hello { daemon: "entry".into(), zone: "z".into(), control: false };
+        self.inbox.push((name.clone(), Event::Opened(hello)));
+    }
+
+    /// Kills a control daemon; its disk stays as it was last synced.
+    pub fn kill(&mut self, name: &Name) {
+        self.daemons.remove(name);
+        self.down.insert(name.clone());
+    }
+
+    pub fn leader(&self) -> Option<Name> {
+        self.daemons.iter().find(|(_, state)| state.leads(self.now)).map(|(name, _)| name.clone())
+    }
+
+    /// Sends a document to a daemon and returns the number of the call.
+    pub fn put(&mut self, daemon: &Name, version: &str) -> u64 {
+        let ticket = self.ticket();
+        let body = version.as_bytes().to_vec();
+        self.apply(daemon, Event::Put { ticket, body });
+        ticket
+    }
+
+    /// Asks a daemon for the document and returns the number of the call.
+    pub fn read(&mut self, daemon: &Name) -> u64 {
+        let ticket = self.ticket();
+        self.apply(daemon, Event::Get { ticket });
+        ticket
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Steps until `done` or the time is over; true if it was done.
+    pub fn run_until<Done>(&mut self, span: Duration, done: Done) -> bool
+    where
+        Done: Fn(&World) -> bool,
+    {
+        let end = self.now + span;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.step();
+        }
+        done(self)
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        self.run_until(span, |_| false);
+    }
+
+    /// Groups whose head is open.
+    pub fn open_groups(&self) -> usize {
+        let open = |engine: &&Engine| {
+            !engine.dead && engine.membership.as_ref().is_some_and(|m| m.stage() == Stage::Open)
+        };
+        self.engines.values().filter(open).count()
+    }
+
+    pub fn heads(&self) -> Vec<Name> {
+        let open =
+            |engine: &&Engine| engine.membership.as_ref().is_some_and(|m| m.stage() == Stage::Open);
+        self.engines.values().filter(open).map(|engine| engine.id.clone()).collect()
+    }
+
+    /// Members of the group that an engine heads.
+    pub fn members(&self, head: &Name) -> Vec<Name> {
+        self.engines[head].members.clone()
+    }
+
+    /// Starts an engine anew under its identity; it knows nothing of before but keeps its VM's model.
+    pub fn revive(&mut self, id: &Name) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        engine.dead = false;
+        engine.born += 1;
+        engine.sequence = 0;
+        engine.membership = None;
+        engine.served = None;
+        engine.epoch_seen = 0;
+        engine.beat_due = now;
+    }
+
+    /// Lets an engine say that it ends; it goes on serving for two seconds.
+    pub fn deregister(&mut self, id: &Name) {
+        let end = self.now + Duration::from_secs(2);
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.leaves_at = Some(end);
+        }
+        let first = self.daemons.keys().next().cloned();
+        if let Some(daemon) = first {
+            self.inbox.push((daemon, Event::Deregistered(id.clone())));
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.step_engines();
+        let due: Vec<Order> = {
+            let now = self.now;
+            let (due, rest) = self.late.drain(..).partition(|(at, _)| *at <= now);
+            self.late = rest;
+            let due: Vec<(Instant, Order)> = due;
+            due.into_iter().map(|(_, order)| order).collect()
+        };
+        for order in due {
+            self.execute(&order);
+        }
+        for (to, event) in std::mem::take(&mut self.inbox) {
+            self.apply(&to, event);
+        }
+        for name in names() {
+            self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let draw = self.draw >> 33;
+            if self.traffic && draw % 6 == 0 {
+                let report = Report { traffic: true, ..Report::default() };
+                let event =
+                    Event::Received { from: "entry".into(), body: Body::Report(report), draw };
+                self.apply(&name, event);
+            }
+            self.apply(&name, Event::Tick { draw });
+        }
+    }
+
+    fn apply(&mut self, name: &Name, event: Event) {
+        let Some(state) = self.daemons.get_mut(name) else { return };
+        let mut effects = Vec::new();
+        state.apply(self.now, event, &mut effects);
+        self.carry_out(name, effects);
+    }
+
+    fn carry_out(&mut self, name: &Name, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, body) => {
+                    self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                    let event = Event::Received { from: name.clone(), body, draw: self.draw >> 33 };
+                    self.inbox.push((to, event));
+                }
+                Effect::Persist(sequence, write) => {
+                    store(self.disks.entry(name.clone()).or_default(), write);
+                    self.inbox.push((name.clone(), Event::Synced(sequence)));
+                }
+                Effect::Order(order) => {
+                    let outcome = self.deliver(&order);
+                    let ticket = order.ticket;
+                    self.inbox.push((name.clone(), Event::Ordered { ticket, outcome }));
+                }
+                Effect::Probe { id, .. } => {
+                    let engine = self.engines.get(&id);
+                    let found = engine.filter(|engine| !engine.dead && !engine.cut);
+                    let refused = engine.is_some_and(|engine| engine.cut);
+                    let beat = found.map(|engine| Box::new(engine.beat()));
+                    self.inbox.push((name.clone(), Event::Probed { id, beat, refused }));
+                }
+                Effect::Answer(ticket, answer) => {
+                    self.answers.insert(ticket, answer);
+                }
+                Effect::Dial(_) | Effect::Log(_) => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, order: &Order) -> Outcome {
+        let Some(engine) = self.engines.get(&order.endpoint) else { return Outcome::Refused };
+        if engine.cut {
+            return Outcome::Refused;
+        }
+        if engine.dead {
+            return Outcome::Unanswered;
+        }
+        if self.late_orders {
+            self.late.push((self.now + Duration::from_secs(12), order.clone()));
+            return Outcome::Unanswered;
+        }
+        self.execute(order)
+    }
+
+    fn execute(&mut self, order: &Order) -> Outcome {
+        let now = self.now;
+        self.check_join(order);
+        let Some(engine) = self.engines.get_mut(&order.endpoint) else { return Outcome::Refused };
+        if engine.dead {
+            return Outcome::Unanswered;
+        }
+        let mine = |group: &Name, epoch: u64| {
+            engine.membership.as_ref().is_some_and(|m| *m.group == **group && m.epoch == epoch)
+        };
+        match &order.task {
+            Task::Join { group, epoch, model, members } => {
+                if *epoch < engine.epoch_seen {
+                    return Outcome::Outdated;
+                }
+                if mine(group, *epoch) {
+                    return Outcome::Done;
+                }
+                engine.epoch_seen = *epoch;
+                let warm = engine.staged.as_deref() == Some(model);
+                let span = match engine.served.as_deref() {
+                    Some(served) if served == &**model => Duration::from_millis(200),
+                    _ if warm => WARM,
+                    _ => LOAD,
+                };
+                engine.ready_at = now + span;
+                engine.staged = Some(model.to_string());
+                engine.served = Some(model.to_string());
+                engine.members = members.to_vec();
+                engine.membership = Some(Membership {
+                    group: group.to_string(),
+                    epoch: *epoch,
+                    stage: Stage::Joining as i32,
+                });
+                engine.beat_due = now;
+                Outcome::Taken
+            }
+            Task::Open { group, epoch } => {
+                let ready = mine(group, *epoch)
+                    && engine.membership.as_ref().is_some_and(|m| m.stage() == Stage::Ready);
+                if !ready {
+                    return Outcome::Unfit;
+                }
+                let members = engine.members.clone();
+                let (group, epoch) = (group.to_string(), *epoch);
+                self.set_stage(&order.endpoint, Stage::Open);
+                for member in members {
+                    if !self.ready.contains(&(member.clone(), group.clone(), epoch)) {
+                        self.broken.push(format!("{group} opened, {member} never ready"));
+                    }
+                }
+                Outcome::Taken
+            }
+            Task::Close { group, epoch, .. } => {
+                if !mine(group, *epoch) {
+                    return Outcome::Unfit;
+                }
+                self.set_stage(&order.endpoint, Stage::Ready);
+                Outcome::Done
+            }
+            Task::Leave { group, epoch } => {
+                if !mine(group, *epoch) {
+                    return Outcome::Unfit;
+                }
+                engine.membership = None;
+                engine.beat_due = now;
+                Outcome::Done
+            }
+            Task::Stage { model } => {
+                engine.staged = Some(model.to_string());
+                Outcome::Done
+            }
+        }
+    }
+
+    /// An engine must not join another group while the head of its group is open and has not stood
+    /// still for the stall time.
+    fn check_join(&mut self, order: &Order) {
+        let Task::Join { group, .. } = &order.task else { return };
+        let engine = &self.engines[&order.endpoint];
+        let Some(old) = &engine.membership else { return };
+        if *old.group == **group || engine.dead {
+            return;
+        }
+        let Some(head) = engine.members.first().and_then(|head| self.engines.get(head)) else {
+            return;
+        };
+        let open = head.membership.as_ref().is_some_and(|membership| {
+            membership.group == old.group
+                && matches!(membership.stage(), Stage::Open | Stage::Closing)
+        });
+        if open && !head.dead {
+            let text = format!("{} joins {group} while {} is open", order.endpoint, old.group);
+            self.broken.push(text);
+        }
+    }
+
+    fn set_stage(&mut self, id: &Name, stage: Stage) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        if let Some(membership) = &mut engine.membership {
+            membership.stage = stage as i32;
+            engine.beat_due = now;
+        }
+    }
+
+    fn step_engines(&mut self) {
+        let ids: Vec<Name> = self.engines.keys().cloned().collect();
+        for id in ids {
+            self.step_engine(&id);
+        }
+    }
+
+    fn step_engine(&mut self, id: &Name) {
+        let now = self.now;
+        let whole = self.is_whole(id);
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        if engine.leaves_at.is_some_and(|at| now >= at) {
+            engine.dead = true;
+        }
+        if engine.dead {
+            return;
+        }
+        let mut ready = None;
+        if let Some(membership) = &mut engine.membership {
+            if membership.stage() == Stage::Joining && now >= engine.ready_at {
+                membership.stage = Stage::Ready as i32;
+                engine.beat_due = now;
+            }
+            if membership.stage() == Stage::Ready {
+                ready = Some((id.clone(), membership.group.clone(), membership.epoch));
+            }
+            match membership.stage() {
+                Stage::Open if whole => engine.ready_at = now,
+                Stage::Open if now.since(engine.ready_at) > STALL => {
+                    membership.stage = Stage::Broken as i32;
+                    engine.beat_due = now;
+                }
+                _ => {}
+            }
+        }
+        self.ready.extend(ready);
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        if now < engine.beat_due || engine.cut || engine.leaves_at.is_some() {
+            return;
+        }
+        engine.beat_due = now + HEARTBEAT;
+        engine.sequence += 1;
+        let beat = Box::new(engine.beat());
+        let names: Vec<Name> = self.daemons.keys().cloned().collect();
+        if let Some(daemon) = names.get(engine.sequence as usize % names.len().max(1)) {
+            self.inbox.push((daemon.clone(), Event::Beat(beat)));
+        }
+    }
+
+    /// Whether all members of the group that an engine heads are still in it.
+    fn is_whole(&self, id: &Name) -> bool {
+        let head = &self.engines[id];
+        let Some(own) = &head.membership else { return true };
+        head.members.iter().all(|member| {
+            let member = &self.engines[member];
+            let same = member.membership.as_ref().is_some_and(|m| m.epoch == own.epoch);
+            same && !member.dead
+        })
+    }
+}
+
+impl Engine {
+    fn beat(&self) -> Beat {
+        Beat {
+            id: self.id.to_string(),
+            service: "llm".into(),
+            address: format!("10.9.0.1:{}", self.id.trim_start_matches('e')),
+            zone: "z".into(),
+            domain: self.domain.clone(),
+            born: self.born,
+            sequence: self.sequence,
+            slots: 26,
+            draining: false,
+            staged: self.staged.iter().cloned().collect(),
+            membership: self.membership.clone(),
+            gone: false,
+        }
+    }
+}
+
+pub fn names() -> Vec<Name> {
+    ["10.0.0.1", "10.0.0.2", "10.0.0.3"].iter().map(|name| (*name).into()).collect()
+}
+
+fn founder(name: &Name) -> Voter {
+    Voter { replica: format!("{name}#0"), daemon: name.to_string(), weight: 1 }
+}
+
+fn store(disk: &mut Stored, write: Write) {
+    match write {
+        Write::Ballot { term, vote } => {
+            disk.term = term;
+            disk.vote = vote;
+        }
+        Write::Entries(entries) => {
+            let Some(first) = entries.first() else { return };
+            disk.entries.retain(|entry| entry.index < first.index);
+            disk.entries.extend(entries);
+        }
+        Write::Snapshot(snapshot) => {
+            disk.entries.retain(|entry| entry.index > snapshot.index);
+            disk.snapshot = snapshot;
+        }
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -90,7 +90,6 @@
     meter: Meter,
     answers: RefCell<HashMap<u64, Sender<Answer>>>,
     next: Cell<u64>,
-    control_port: u16,
     executor: Rc<smol::LocalExecutor<'static>>,
 }
 
@@ -135,7 +134,6 @@
         meter: Meter::open("control"),
         answers: RefCell::default(),
         next: Cell::new(1),
-        control_port: config.control.port(),
         executor: executor.clone(),
     });
     let inbox = {
@@ -292,11 +290,11 @@
             }
             Some(Call::Put) => {
                 let answer = self.ask(|ticket| Event::Put { ticket, body }).await;
-                self.reply_operator(&head.target, answer)
+                reply_operator(answer)
             }
             Some(Call::Get) => {
                 let answer = self.ask(|ticket| Event::Get { ticket }).await;
-                self.reply_operator(&head.target, answer)
+                reply_operator(answer)
             }
             None => reply(404, "", b"{}"),
         }
@@ -335,30 +333,24 @@
         self.answers.borrow_mut().remove(&ticket);
         answer
     }
+}
 
-    fn reply_operator(&self, target: &str, answer: Answer) -> Vec<u8> {
-        match answer {
-            Answer::Accepted => reply(200, "", b"{}"),
-            Answer::Invalid(findings) => {
-                let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
-                let body = serde_json::json!({ "findings": findings }).to_string();
-                reply(400, "", body.as_bytes())
-            }
-            Answer::Document(body) => reply(200, "", &body),
-            Answer::Elsewhere(daemon) => {
-                let port = self.control_port;
-                let location = format!("Location: http://{daemon}:{port}{target}\r\n");
-                reply(307, &location, b"{}")
-            }
-            Answer::Unavailable => reply(503, "Retry-After: 0.2\r\n", b"{}"),
+fn reply_operator(answer: Answer) -> Vec<u8> {
+    match answer {
+        Answer::Accepted => reply(200, "", b"{}"),
+        Answer::Invalid(findings) => {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            let body = serde_json::json!({ "findings": findings }).to_string();
+            reply(400, "", body.as_bytes())
         }
+        Answer::Document(body) => reply(200, "", &body),
+        Answer::Unavailable => reply(503, "Retry-After: 0.2\r\n", b"{}"),
     }
 }
 
 fn reply(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let phrase = match status {
         200 => "OK",
-        307 => "Temporary Redirect",
         400 => "Bad Request",
         404 => "Not Found",
         _ => "Service Unavailable",
