Call a follower current only behind a leader that has committed in its term; keep groups of cut zones

Documents were also fed in the middle of a replay. Cause 2: a leader took the silence of a whole cut-off zone for the loss of its groups; after the cut they were formed anew. Cause 3: a stalled group was noticed after 0.6 s whatever its pace; a daemon that had been frozen suspected all. Ruled out: lost commits (the log held 123 throughout). Change: fresh() asks for a commit in the leader's term; documents are fed between events; nothing is concluded from the silence of a zone none of whose daemons is heard of; stalls are counted in multiples of the usual gap. Test: document_current_after_a_restart_of_all_is_the_newest failed before (versions 0 called current), passes now.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -273,13 +273,15 @@
     }
 
     /// Whether the state machine holds everything that a leader, heard within the election time,
-    /// had committed.
+    /// had committed. A leader that has committed nothing in its own term does not know yet what the
+    /// leaders before it committed.
     pub fn fresh(&self, now: Instant) -> bool {
         if self.role == Role::Leader {
             return self.reads(now);
         }
         let heard = self.heard_leader.is_some_and(|heard| now.since(heard) < self.timing.election);
-        heard && self.applied >= self.leader_commit
+        let current = self.log.term(self.leader_commit) == Some(self.term);
+        heard && current && self.applied >= self.leader_commit
     }
 
     /// Appends a command as leader.
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -25,6 +25,7 @@
 pub mod feeding;
 pub mod machine;
 pub mod planner;
+pub mod reach;
 
 mod operating;
 
@@ -32,6 +33,7 @@
 use self::machine::{Change, Command, Machine};
 use self::operating::{Parked, Waiting};
 use self::planner::Planner;
+use self::reach::Reach;
 
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_ENTRIES: u64 = 400;
@@ -181,6 +183,7 @@
     planner: Planner,
     feed: Feed,
     controls: BTreeSet<Name>,
+    reach: Reach,
     waiting: BTreeMap<u64, Waiting>,
     parked: Vec<Parked>,
     gossip: Vec<(Beat, Instant)>,
@@ -217,6 +220,7 @@
             document: Arc::default(),
             endpoints: endpoints::Table::default(),
             controls: BTreeSet::new(),
+            reach: Reach::new(setup.zone.clone()),
             waiting: BTreeMap::new(),
             parked: Vec::new(),
             gossip: Vec::new(),
@@ -229,7 +233,7 @@
         for seed in state.setup.seeds.clone() {
             state.meet(&seed, effects);
         }
-        state.carry_out(now, effects);
+        state.carry_out(effects);
         state
     }
 
@@ -238,6 +242,7 @@
         match event {
             Event::Tick { draw } => self.tick(now, draw, effects),
             Event::Opened(hello) => {
+                self.reach.meet(hello.daemon.as_str().into(), &hello.zone, now);
                 if hello.control {
                     self.meet(&hello.daemon.as_str().into(), effects);
                 } else {
@@ -258,7 +263,10 @@
             }
             Event::Probed { id, beat, refused } => self.probed(now, &id, beat, refused, effects),
         }
-        self.carry_out(now, effects);
+        self.carry_out(effects);
+        if self.replica.fresh(now) {
+            self.feed_documents(effects);
+        }
     }
 
     /// Whether this daemon leads with a valid lease.
@@ -278,7 +286,7 @@
 
     fn tick(&mut self, now: Instant, draw: u64, effects: &mut Vec<Effect>) {
         self.replica.tick(now, draw, &mut self.outputs);
-        self.carry_out(now, effects);
+        self.carry_out(effects);
         self.expire_waiting(now, effects);
         self.serve_parked(now, effects);
         self.send_gossip(now, effects);
@@ -295,6 +303,9 @@
             let machine = &self.machine;
             let term = self.replica.term();
             let mut changes = Vec::new();
+            if self.feed.traffic() && !self.machine.begun {
+                changes.push(Change::Begin(true));
+            }
             let mut field = planner::Field {
                 now,
                 term,
@@ -302,7 +313,8 @@
                 machine,
                 endpoints: &mut self.endpoints,
                 demand: self.feed.demand(),
-                traffic: self.feed.traffic(),
+                traffic: self.feed.traffic() || self.machine.begun,
+                reach: &self.reach,
                 progress: self.feed.progress(),
                 suspects: self.feed.suspects(),
             };
@@ -310,7 +322,7 @@
             for change in changes {
                 self.propose(now, change);
             }
-            self.carry_out(now, effects);
+            self.carry_out(effects);
         }
         self.feed_entries(now, effects);
     }
@@ -323,6 +335,7 @@
         draw: u64,
         effects: &mut Vec<Effect>,
     ) {
+        self.reach.hear(&from, now);
         match body {
             Body::Replication(Replication { payload: Some(payload), .. }) => {
                 self.replica.receive(now, draw, payload, &mut self.outputs);
@@ -434,16 +447,16 @@
         effects.push(Effect::Dial(daemon.clone()));
     }
 
-    fn carry_out(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    fn carry_out(&mut self, effects: &mut Vec<Effect>) {
         while !self.outputs.is_empty() {
             for output in std::mem::take(&mut self.outputs) {
-                self.carry_out_one(now, output, effects);
+                self.carry_out_one(output, effects);
             }
             self.compact();
         }
     }
 
-    fn carry_out_one(&mut self, now: Instant, output: Output, effects: &mut Vec<Effect>) {
+    fn carry_out_one(&mut self, output: Output, effects: &mut Vec<Effect>) {
         match output {
             Output::Persist(sequence, write) => effects.push(Effect::Persist(sequence, write)),
             Output::Send(to, payload) => {
@@ -452,12 +465,12 @@
                 let payload = Some(payload);
                 effects.push(Effect::Send(to, Body::Replication(Replication { from, payload })));
             }
-            Output::Apply(entry) => self.apply_entry(now, entry, effects),
+            Output::Apply(entry) => self.apply_entry(entry, effects),
             Output::Restore(install) => self.restore(install, effects),
         }
     }
 
-    fn apply_entry(&mut self, now: Instant, entry: Entry, effects: &mut Vec<Effect>) {
+    fn apply_entry(&mut self, entry: Entry, effects: &mut Vec<Effect>) {
         for voter in &entry.voters {
             self.meet(&voter.daemon.as_str().into(), effects);
         }
@@ -472,7 +485,6 @@
             self.feed.touch();
         }
         self.settle(entry.index, entry.term, effects);
-        self.feed_documents(now, effects);
     }
 
     fn restore(&mut self, install: Install, effects: &mut Vec<Effect>) {
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -14,7 +14,7 @@
 /// Time between two statuses to an entry daemon.
 const STATUS_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two lists of loads to an entry daemon.
-const LOADS_INTERVAL: Duration = Duration::from_millis(150);
+const LOADS_INTERVAL: Duration = Duration::from_millis(75);
 /// Age beyond which the report of an entry daemon says nothing any more.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 /// Time constant of the mean demand.
@@ -126,7 +126,7 @@
     Decoder: Reader,
 {
     /// Sends the document to each entry daemon that has an older one.
-    pub(super) fn feed_documents(&mut self, _now: Instant, effects: &mut Vec<Effect>) {
+    pub(super) fn feed_documents(&mut self, effects: &mut Vec<Effect>) {
         let Some(put) = &self.machine.document else { return };
         for (daemon, listener) in &mut self.feed.listeners {
             if listener.version >= put.version {
@@ -141,7 +141,7 @@
     /// Sends entry daemons what is due.
     pub(super) fn feed_entries(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.feed.decay(now);
-        self.feed_documents(now, effects);
+        self.feed_documents(effects);
         self.refresh_view(now);
         let status = self.status(now);
         let names: Vec<Name> = self.feed.listeners.keys().cloned().collect();
@@ -230,14 +230,16 @@
             let moves = progress.is_some_and(|at| now.since(*at) < REPORT_TTL);
             let open = known.beat.stage_in(&group.name, group.epoch) == Some(Stage::Open);
             let alive = known.is_usable(now, VIEW_TTL) || (moves && !known.beat.draining);
-            if open && alive && known.beat.born == head.born {
+            let reachable = !self.reach.is_lost(&known.beat.zone, now);
+            if open && alive && reachable && known.beat.born == head.born {
                 targets.push(target(&known.beat, &group.model, &group.name));
             }
         }
         for (id, known) in self.endpoints.iter() {
             let beat = &known.beat;
             let engine = self.document.services.get(&*beat.service);
-            let plain = engine.is_some_and(|service| service.engine.is_none());
+            let plain = engine.is_some_and(|service| service.engine.is_none())
+                && !self.reach.is_lost(&beat.zone, now);
             if plain && !heads.contains(&**id) && known.is_usable(now, VIEW_TTL) {
                 targets.push(target(beat, "", ""));
             }
--- a/crates/fleet/src/control/machine.rs
+++ b/crates/fleet/src/control/machine.rs
@@ -74,13 +74,16 @@
     /// Removes a group, so that its members may be placed again.
     #[prost(string, tag = "4")]
     Remove(String),
+    /// Callers have sent their first request.
+    #[prost(bool, tag = "5")]
+    Begin(bool),
 }
 
 /// An entry of the log.
 #[derive(Clone, PartialEq, Message)]
 pub struct Command {
     /// The change.
-    #[prost(oneof = "Change", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Change", tags = "1, 2, 3, 4, 5")]
     pub change: Option<Change>,
 }
 
@@ -119,6 +122,9 @@
     /// Groups by name.
     #[prost(btree_map = "string, message", tag = "2")]
     pub groups: BTreeMap<String, Group>,
+    /// Whether callers have sent requests.
+    #[prost(bool, tag = "3")]
+    pub begun: bool,
 }
 
 impl Machine {
@@ -145,6 +151,7 @@
             Change::Remove(name) => {
                 self.groups.remove(&name);
             }
+            Change::Begin(begun) => self.begun |= begun,
         }
     }
 
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -24,6 +24,7 @@
 use super::endpoints::Table;
 use super::feeding::Demands;
 use super::machine::{Change, Doom, Group, Machine, Member};
+use super::reach::Reach;
 use super::Effect;
 
 pub mod forming;
@@ -80,6 +81,8 @@
     pub demand: &'a Demands,
     /// Whether callers have sent requests.
     pub traffic: bool,
+    /// Availability zones that can be reached.
+    pub reach: &'a Reach,
     /// When heads last made progress.
     pub progress: &'a BTreeMap<Name, Instant>,
     /// Endpoints that entry daemons suspect.
@@ -337,6 +340,9 @@
             if known.beat.draining || known.beat.gone {
                 return Some(Loss::Draining);
             }
+            if field.reach.is_lost(&known.beat.zone, now) {
+                continue;
+            }
             let silent = known.silent.is_some() || now.since(known.heard) > self.times.lost();
             if silent && !moves {
                 return Some(Loss::Silent);
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -58,7 +58,8 @@
     ) {
         let now = field.now;
         self.proposed.retain(|_, at| now.since(*at) < PROPOSE_AGAIN);
-        if !self.is_complete(field) {
+        let fresh = now.since(self.began) < self.times.heartbeat && field.traffic;
+        if fresh || !self.is_complete(field) {
             return;
         }
         let document = field.document;
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -32,8 +32,10 @@
 
 /// Silence after which a control daemon is no longer a source.
 const SOURCE_TTL: Duration = Duration::from_millis(1200);
+/// Time between two ticks after which this daemon itself has stood still.
+const STOOD_STILL: Duration = Duration::from_millis(150);
 /// Time between two reports to the control daemons.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+const REPORT_INTERVAL: Duration = Duration::from_millis(75);
 /// Time after its start at which a daemon serves with a document that no live leader has confirmed.
 const UNCONFIRMED: Duration = Duration::from_secs(6);
 
@@ -116,6 +118,7 @@
     traffic: bool,
     started: Instant,
     report_due: Instant,
+    ticked: Instant,
     stopping: bool,
     draw: u64,
 }
@@ -143,6 +146,7 @@
             traffic: false,
             started: now,
             report_due: now,
+            ticked: now,
             stopping: false,
             draw: draw | 1,
         }
@@ -306,6 +310,10 @@
             effects.push(Effect::Log(event));
         }
         self.select(now, effects);
+        if now.since(self.ticked) > STOOD_STILL {
+            self.targets.forgive(now);
+        }
+        self.ticked = now;
         self.check_progress(now, effects);
         self.expire(now, effects);
         self.pump(now, effects);
--- a/crates/fleet/src/entry/budget.rs
+++ b/crates/fleet/src/entry/budget.rs
@@ -33,6 +33,11 @@
         *tokens = (*tokens + self.ratio).min(burst);
     }
 
+    /// Whether there is a token for a repeat.
+    pub fn allows(&self, service: &Name) -> bool {
+        self.tokens.get(service).copied().unwrap_or(self.burst) >= 1.0
+    }
+
     /// Takes a token for a repeat; false if there is none.
     ///
     /// ```
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -171,7 +171,9 @@
             let at = |active: &Active| active.at.as_ref() == Some(&stalled);
             let mut moved = 0;
             for (id, active) in self.requests.iter_mut().filter(|(_, active)| at(active)) {
-                let again = active.route.repeatable() && active.attempts < active.route.attempts;
+                let again = active.route.repeatable()
+                    && active.attempts < active.route.attempts
+                    && self.budget.allows(&active.need.0);
                 if again && !active.abandoned {
                     active.abandoned = true;
                     moved += 1;
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -13,10 +13,21 @@
 
 use super::queue::Need;
 
-/// Time without any part of an answer after which an endpoint with begun answers counts as stalled.
-const STALL: Duration = Duration::from_millis(600);
+/// Least time without any part of an answer after which an endpoint with begun answers counts as
+/// stalled.
+const STALL_MIN: Duration = Duration::from_millis(350);
+/// Longest such time.
+const STALL_MAX: Duration = Duration::from_millis(1500);
+/// Multiple of the usual time between parts of answers after which an endpoint counts as stalled.
+const STALL_FACTOR: f64 = 5.0;
+/// Weight of the newest time between parts of answers.
+const GAP_WEIGHT: f64 = 0.1;
+/// Time between parts of answers that are taken to be sent together.
+const TOGETHER: Duration = Duration::from_millis(10);
 /// The same for an endpoint whose requests have all not begun.
 const STALL_UNBEGUN: Duration = Duration::from_millis(1200);
+/// Time between parts of answers that is assumed at first.
+const GAP_DEFAULT: Duration = Duration::from_millis(100);
 /// First time for which a failing endpoint is left out.
 const EJECT_MIN: Duration = Duration::from_millis(500);
 /// Longest time for which a failing endpoint is left out.
@@ -51,6 +62,8 @@
     begun: u32,
     /// When it last sent a part of an answer, or got its first request after a time without.
     progress: Instant,
+    /// Usual time between parts of answers, in seconds.
+    gap: f64,
     /// Whether it has sent a part of an answer since the last report.
     moved: bool,
     failure_rate: f64,
@@ -212,6 +225,10 @@
     /// Notes that an endpoint has sent a part of an answer.
     pub fn note_progress(&mut self, id: &Name, now: Instant) {
         let Some(target) = self.targets.get_mut(id) else { return };
+        let gap = now.since(target.progress);
+        if target.begun > 0 && gap > TOGETHER {
+            target.gap += GAP_WEIGHT * (gap.as_secs_f64().min(1.0) - target.gap);
+        }
         target.progress = now;
         target.moved = true;
         target.suspected = None;
@@ -231,7 +248,9 @@
             if target.running == 0 || target.entry.model.is_empty() {
                 continue;
             }
-            let patience = if target.begun > 0 { STALL } else { STALL_UNBEGUN };
+            let usual = Duration::from_secs_f64(target.gap * STALL_FACTOR);
+            let usual = usual.clamp(STALL_MIN, STALL_MAX);
+            let patience = if target.begun > 0 { usual } else { STALL_UNBEGUN };
             if now.since(target.progress) > patience {
                 target.suspected = Some(now);
                 target.ejected = target.ejected.max(now + EJECT_MIN * 2);
@@ -241,6 +260,13 @@
         stalled
     }
 
+    /// Counts all silence from now on: this daemon itself stood still.
+    pub fn forgive(&mut self, now: Instant) {
+        for target in self.targets.values_mut() {
+            target.progress = now;
+        }
+    }
+
     /// Requests of this daemon by endpoint.
     pub fn running(&self) -> impl Iterator<Item = (&Name, u32)> {
         let busy = self.targets.iter().filter(|(_, target)| target.running > 0);
@@ -277,6 +303,7 @@
             others: 0,
             begun: 0,
             progress: now,
+            gap: GAP_DEFAULT.as_secs_f64(),
             moved: false,
             failure_rate: 0.0,
             failures: 0,
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -81,6 +81,31 @@
     }
 }
 
+/// A daemon that replays its log after a restart must not call an older document current.
+#[test]
+fn document_current_after_a_restart_of_all_is_the_newest() {
+    let mut world = serving(1);
+    for version in 2..40 {
+        world.put(&names()[0], &version.to_string());
+        world.run(Duration::from_millis(100));
+    }
+    world.run(SECOND);
+    world.current.clear();
+    for round in 0..20 {
+        for name in names() {
+            world.kill(&name);
+        }
+        world.run(Duration::from_millis(25 * round));
+        for name in names() {
+            world.start(&name, &format!("{name}#0"));
+        }
+        world.run(SECOND * 4);
+    }
+    assert!(!world.current.is_empty(), "no daemon is current");
+    let older: Vec<_> = world.current.iter().filter(|(_, version)| *version < 39).collect();
+    assert!(older.is_empty(), "{older:?}");
+}
+
 #[test]
 fn document_read_without_quorum_is_unavailable() {
     let mut world = serving(1);
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -97,6 +97,8 @@
     /// Whether orders are lost and carried out twelve seconds later.
     pub late_orders: bool,
     pub traffic: bool,
+    /// Versions of documents that daemons said to be current.
+    pub current: Vec<(Name, u64)>,
     inbox: Vec<(Name, Event)>,
     late: Vec<(Instant, Order)>,
     ready: BTreeSet<(Name, String, u64)>,
@@ -117,6 +119,7 @@
             broken: Vec::new(),
             late_orders: false,
             traffic: false,
+            current: Vec::new(),
             inbox: Vec::new(),
             late: Vec::new(),
             ready: BTreeSet::new(),
@@ -287,7 +290,7 @@
         for name in names() {
             self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
             let draw = self.draw >> 33;
-            if self.traffic && draw % 6 == 0 {
+            if self.traffic && draw.is_multiple_of(6) {
                 let report = Report { traffic: true, ..Report::default() };
                 let event =
                     Event::Received { from: "entry".into(), body: Body::Report(report), draw };
@@ -308,6 +311,11 @@
         for effect in effects {
             match effect {
                 Effect::Send(to, body) => {
+                    if let Body::Status(status) = &body {
+                        if status.fresh {
+                            self.current.push((name.clone(), status.version));
+                        }
+                    }
                     self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
                     let event = Event::Received { from: name.clone(), body, draw: self.draw >> 33 };
                     self.inbox.push((to, event));
