Contain requests that crash their endpoints; test the entry daemon's decisions

Cause: nothing kept a request that crashes each endpoint from being sent again by any daemon under a new id; a single reset answer left an endpoint out for half a second (answer_lost resets up to 40 in 100). Change: a lost answer whose endpoint then turns out to have ended counts as a crash of that content; control daemons add them up and entry daemons refuse the third. Test: crash_counts_only_if_the_endpoint_has_ended failed first on the old blame for resets; 22 tests of the entry daemon's decisions are new.

--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -5,6 +5,7 @@
 
 use dotterelhoist_core::clock::Instant;
 
+use crate::crash::Crashes;
 use crate::endpoint::Stage;
 use crate::message::{Body, Bytes, Loads, Report, Status, Target, View};
 use crate::Name;
@@ -51,6 +52,7 @@
     progress: BTreeMap<Name, Instant>,
     suspects: BTreeMap<Name, Instant>,
     traffic: bool,
+    crashes: Crashes,
 }
 
 impl Feed {
@@ -83,6 +85,9 @@
         for id in &report.suspects {
             self.suspects.insert(id.as_str().into(), now);
         }
+        for fingerprint in &report.crashed {
+            self.crashes.add(*fingerprint, now);
+        }
         self.traffic |= report.traffic;
         listener.reported = now;
         listener.report = report;
@@ -116,6 +121,7 @@
         self.decayed = now;
         let factor = (-passed / DEMAND_SPAN.as_secs_f64()).exp();
         self.demand.values_mut().for_each(|demand| *demand *= factor);
+        self.crashes.forget(now);
         self.progress.retain(|_, at| now.since(*at) < REPORT_TTL * 4);
         self.suspects.retain(|_, at| now.since(*at) < SUSPECT_TTL);
     }
@@ -179,6 +185,7 @@
             version: self.machine.version(),
             controls: own.chain(&self.controls).map(ToString::to_string).collect(),
             entries: self.feed.listeners.len() as u32,
+            crashing: self.feed.crashes.refused(),
         }
     }
 
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -4,13 +4,14 @@
 //! requests wait for room ([`queue`]) and limits repeats ([`budget`]). The shell carries the bytes and
 //! reports how each attempt ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
 
 use crate::control::Reader;
+use crate::crash::Doubts;
 use crate::document::{Access, Document, Route, Workspace};
 use crate::journal;
 use crate::message::{Body, Demand, Report, Running, Status};
@@ -114,6 +115,10 @@
     requests: BTreeMap<u64, Active>,
     queue: Queue,
     budget: Budget,
+    doubts: Doubts,
+    crashed: Vec<u64>,
+    /// Requests that are refused because they crash endpoints.
+    crashing: BTreeSet<u64>,
     demand: BTreeMap<(Name, Name), f64>,
     traffic: bool,
     started: Instant,
@@ -142,6 +147,9 @@
             requests: BTreeMap::new(),
             queue: Queue::default(),
             budget,
+            doubts: Doubts::default(),
+            crashed: Vec::new(),
+            crashing: BTreeSet::new(),
             demand: BTreeMap::new(),
             traffic: false,
             started: now,
@@ -241,6 +249,7 @@
             let event = journal::Event::new(102, "ready", &*self.setup.daemon, detail);
             effects.push(Effect::Log(event));
         }
+        self.crashing.extend(&status.crashing);
         let entries = f64::from(status.entries.max(1));
         self.budget.set_burst(self.setup.retry_slack * SLACK_SHARE / entries);
         if let Some(source) = self.sources.get_mut(&from) {
@@ -315,6 +324,8 @@
         }
         self.ticked = now;
         self.check_progress(now, effects);
+        let targets = &self.targets;
+        self.crashed.extend(self.doubts.settle(now, |id| targets.has_ended(id, now)));
         self.expire(now, effects);
         self.pump(now, effects);
         if now >= self.report_due {
@@ -342,6 +353,7 @@
             traffic: self.traffic,
             selected: false,
             progress: self.targets.take_progress(),
+            crashed: std::mem::take(&mut self.crashed),
         };
         for name in self.sources.keys() {
             let selected = self.selected.as_ref() == Some(name);
@@ -352,6 +364,9 @@
 
     /// Finds the route and the workspace of a request.
     fn look_up(&self, request: &Request) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Reason> {
+        if self.crashing.contains(&request.fingerprint) {
+            return Err(Reason::Crashing);
+        }
         let Some(document) = self.document() else { return Err(Reason::Starting) };
         let Some(route) = document.route(&request.host, &request.path) else {
             return Err(Reason::NoRoute);
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -109,14 +109,15 @@
     /// HTTP status of the answer. 408, 421, 429 and 503 promise that nothing has run or will.
     pub fn status(self) -> u16 {
         match self {
-            Reason::Starting | Reason::Stopping | Reason::NoEndpoint | Reason::Declined => 503,
+            Reason::Starting | Reason::Stopping | Reason::NoEndpoint => 503,
+            Reason::Declined | Reason::Crashing => 503,
             Reason::QueueFull | Reason::TooLate => 429,
             Reason::NoRoute => 404,
             Reason::Unauthorized => 401,
             Reason::Malformed => 400,
             Reason::HeadTooLong => 431,
             Reason::BodyTooLong => 413,
-            Reason::Crashing | Reason::Lost => 502,
+            Reason::Lost => 502,
             Reason::TimedOut => 504,
         }
     }
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -53,7 +53,8 @@
         let (route, workspace) = match self.look_up(&request) {
             Ok(found) => found,
             Err(reason) => {
-                let retry_after = (reason.status() == 503).then_some(COME_BACK);
+                let later = reason.status() == 503 && reason != Reason::Crashing;
+                let retry_after = later.then_some(COME_BACK);
                 self.tell(id, &request.name, Refusal { reason, retry_after }, effects);
                 return;
             }
@@ -203,7 +204,6 @@
     pub(super) fn ended(&mut self, now: Instant, id: u64, end: End, effects: &mut Vec<Effect>) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(target) = active.at.take() else { return };
-        let abandoned = active.abandoned;
         self.targets.ended(&target, active.begun);
         active.begun = false;
         match &end {
@@ -212,10 +212,14 @@
                 self.targets.succeeded(&target);
             }
             End::Unreachable => self.targets.failed(&target, true, now),
-            End::Lost { broken, .. } => self.targets.failed(&target, *broken && !abandoned, now),
-            End::Failed { .. } | End::Declined { .. } => self.targets.failed(&target, false, now),
+            End::Lost { .. } | End::Failed { .. } | End::Declined { .. } => {
+                self.targets.failed(&target, false, now);
+            }
             End::TimedOut { .. } => {}
         }
+        if matches!(end, End::Lost { .. }) {
+            self.doubts.note(active.request.fingerprint, target.clone(), now);
+        }
         self.note_end(id, &target, &end, effects);
         self.judge(now, id, end, effects);
         self.pump(now, effects);
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -70,6 +70,8 @@
     failures: u32,
     ejected: Instant,
     suspected: Option<Instant>,
+    /// When no connection to it could be built.
+    unreachable: Option<Instant>,
 }
 
 /// All endpoints.
@@ -218,6 +220,7 @@
             target.ejected = now + doubled.min(EJECT_MAX);
         }
         if unreachable {
+            target.unreachable = Some(now);
             target.suspected = Some(now);
         }
     }
@@ -260,6 +263,13 @@
         stalled
     }
 
+    /// Whether an endpoint has probably ended: it is no longer listed, or can't be reached.
+    pub fn has_ended(&self, id: &Name, now: Instant) -> bool {
+        self.targets.get(id).is_none_or(|target| {
+            !target.listed || target.unreachable.is_some_and(|at| now.since(at) < SUSPICION)
+        })
+    }
+
     /// Counts all silence from now on: this daemon itself stood still.
     pub fn forgive(&mut self, now: Instant) {
         for target in self.targets.values_mut() {
@@ -309,6 +319,7 @@
             failures: 0,
             ejected: Instant::default(),
             suspected: None,
+            unreachable: None,
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! which they happened, and effects are returned as data for the shell to carry out.
 
 pub mod control;
+pub mod crash;
 pub mod document;
 pub mod endpoint;
 pub mod entry;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -64,6 +64,9 @@
     /// Entry daemons that are connected to it.
     #[prost(uint32, tag = "4")]
     pub entries: u32,
+    /// Hashes of requests that crash the endpoints that run them.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub crashing: Vec<u64>,
 }
 
 /// A configuration document as the operator sent it.
@@ -174,6 +177,9 @@
     /// Endpoints that have sent parts of answers since the last report.
     #[prost(string, repeated, tag = "6")]
     pub progress: Vec<String>,
+    /// Hashes of requests whose endpoints have ended since the last report.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub crashed: Vec<u64>,
 }
 
 /// A call of an operator on its way to the leader.
--- /dev/null
+++ b/crates/fleet/tests/entry/main.rs
@@ -0,0 +1,428 @@
+//! An entry daemon: choice, queue, repeats, refusals.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhoist_core::clock::Instant;
+use dotterelhoist_fleet::control::Reader;
+use dotterelhoist_fleet::document::{
+    Document, Draft, Engine, Finding, Kind, Model, Route, Service, Share, Workspace,
+};
+use dotterelhoist_fleet::entry::{
+    Attempt, Decision, Effect, End, Event, Reason, Refusal, Request, Setup, State,
+};
+use dotterelhoist_fleet::message::{Body, Bytes, Status, Target, View};
+use dotterelhoist_fleet::Name;
+use rstest::rstest;
+
+const CONTROL: &str = "10.0.0.9";
+
+#[derive(Clone, Debug)]
+struct Fixed;
+
+impl Reader for Fixed {
+    fn read(&self, bytes: &[u8]) -> Result<Document, Vec<Finding>> {
+        let version = String::from_utf8_lossy(bytes).parse().unwrap_or(1);
+        let workspaces =
+            vec![Workspace { name: "families".into(), keys: vec!["key".into()], priority: None }];
+        Document::build(Draft {
+            version,
+            routes: vec![
+                route("stream", Kind::Streaming, "llm"),
+                route("read", Kind::Idempotent, "desk"),
+                route("book", Kind::NonIdempotent, "desk"),
+            ],
+            services: vec![llm(), Service { name: "desk".into(), connections: 9, engine: None }],
+            workspaces: Some(workspaces),
+            ..Draft::default()
+        })
+    }
+}
+
+fn route(name: &str, kind: Kind, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        timeout: Duration::from_secs(6),
+        target: Duration::from_millis(300),
+        priority: 1,
+        split: [Share { service: service.into(), weight: 1 }].into_iter().collect(),
+        attempts: 2,
+        public: false,
+        resumable: true,
+        gap: None,
+    }
+}
+
+fn llm() -> Service {
+    let model = Model {
+        name: "m".into(),
+        size: 2,
+        share: 1.0,
+        pace: 1.0,
+        load: Duration::ZERO,
+        warm: Duration::ZERO,
+    };
+    let engine = Engine {
+        slots: 4,
+        models: vec![model],
+        step_ms: 6.0,
+        per_sequence_ms: 0.2,
+        read_per_s: 46_000.0,
+        loads_per_s: 4.0,
+        usual_prompt: 1000.0,
+        usual_answer: 100.0,
+    };
+    Service { name: "llm".into(), connections: 99, engine: Some(engine) }
+}
+
+struct Desk {
+    now: Instant,
+    state: State<Fixed>,
+    decisions: BTreeMap<u64, Vec<Decision>>,
+    abandoned: Vec<u64>,
+    crashed: Vec<u64>,
+}
+
+impl Desk {
+    fn starting() -> Desk {
+        let now = Instant::from_millis(3_600_000);
+        let setup = Setup {
+            daemon: "10.0.0.1".into(),
+            zone: "a".into(),
+            retry_ratio: 0.1,
+            retry_slack: 40.0,
+        };
+        let state = State::open(setup, Fixed, 7, now);
+        let (decisions, abandoned, crashed) = Default::default();
+        Desk { now, state, decisions, abandoned, crashed }
+    }
+
+    fn open(targets: &[(&str, &str, &str, u32)]) -> Desk {
+        let mut desk = Desk::starting();
+        desk.apply(Event::Opened(CONTROL.into()));
+        desk.hear(Body::Document(Bytes { version: 1, body: b"1".to_vec() }));
+        desk.status(1, &[]);
+        desk.view(1, targets);
+        desk
+    }
+
+    fn apply(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        self.state.apply(self.now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Decide(id, decision) => {
+                    self.decisions.entry(id).or_default().push(decision);
+                }
+                Effect::Abandon(id) => self.abandoned.push(id),
+                Effect::Send(_, Body::Report(report)) => self.crashed.extend(report.crashed),
+                _ => {}
+            }
+        }
+    }
+
+    fn hear(&mut self, body: Body) {
+        self.apply(Event::Received(CONTROL.into(), body));
+    }
+
+    fn status(&mut self, version: u64, crashing: &[u64]) {
+        let controls = vec![CONTROL.to_owned()];
+        let crashing = crashing.to_vec();
+        let status = Status { fresh: true, version, controls, entries: 1, crashing };
+        self.hear(Body::Status(status));
+    }
+
+    fn view(&mut self, sequence: u64, targets: &[(&str, &str, &str, u32)]) {
+        let target = |(id, service, zone, slots): &(&str, &str, &str, u32)| Target {
+            id: (*id).to_owned(),
+            address: format!("10.9.0.1:{}", 80 + sequence),
+            service: (*service).to_owned(),
+            model: if *service == "llm" { "m".to_owned() } else { String::new() },
+            group: if *service == "llm" { format!("g-{id}") } else { String::new() },
+            zone: (*zone).to_owned(),
+            slots: *slots,
+        };
+        let targets = targets.iter().map(target).collect();
+        self.hear(Body::View(View { sequence, targets }));
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(25) {
+            self.now = self.now + Duration::from_millis(25);
+            if self.now.as_millis().is_multiple_of(300) {
+                self.status(1, &[]);
+            }
+            self.apply(Event::Tick);
+        }
+    }
+
+    fn send(&mut self, id: u64, path: &str) {
+        let request = request(id, path, self.now);
+        self.apply(Event::Arrived(Box::new(request)));
+    }
+
+    fn last(&self, id: u64) -> Option<&Decision> {
+        self.decisions.get(&id).and_then(|decisions| decisions.last())
+    }
+
+    fn attempt(&self, id: u64) -> Attempt {
+        match self.last(id) {
+            Some(Decision::Send(attempt)) => attempt.clone(),
+            other => panic!("request {id}: {other:?}"),
+        }
+    }
+
+    fn refusal(&self, id: u64) -> Refusal {
+        match self.last(id) {
+            Some(Decision::Refuse(refusal)) => refusal.clone(),
+            other => panic!("request {id}: {other:?}"),
+        }
+    }
+}
+
+fn request(id: u64, path: &str, now: Instant) -> Request {
+    Request {
+        id,
+        name: format!("r{id}").into(),
+        host: "h".into(),
+        path: path.into(),
+        key: Some("key".into()),
+        model: "m".into(),
+        prompt: 1000,
+        answer: 50,
+        fingerprint: id,
+        deadline: now + Duration::from_secs(8),
+    }
+}
+
+const TWO: &[(&str, &str, &str, u32)] = &[("e1", "llm", "a", 4), ("e2", "llm", "a", 4)];
+const PLAIN: &[(&str, &str, &str, u32)] = &[("p1", "desk", "a", 6), ("p2", "desk", "b", 6)];
+const LOST: End = End::Lost { open: true, broken: true };
+
+#[test]
+fn request_before_any_document_is_told_to_come_back() {
+    let mut desk = Desk::starting();
+    desk.send(1, "/stream/x");
+    assert_eq!(desk.refusal(1).reason, Reason::Starting);
+    assert!(desk.refusal(1).retry_after.is_some());
+    assert!(!desk.state.is_ready());
+}
+
+#[rstest]
+#[case::no_route("/none/x", Some("key"), Reason::NoRoute)]
+#[case::bad_key("/stream/x", Some("other"), Reason::Unauthorized)]
+#[case::no_key("/stream/x", None, Reason::Unauthorized)]
+fn request_not_allowed_is_refused(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] reason: Reason,
+) {
+    let mut desk = Desk::open(TWO);
+    let mut request = request(1, path, desk.now);
+    request.key = key.map(Name::from);
+    desk.apply(Event::Arrived(Box::new(request)));
+    assert_eq!(desk.refusal(1).reason, reason);
+}
+
+#[test]
+fn workspace_is_that_of_the_key() {
+    let mut desk = Desk::open(TWO);
+    desk.send(1, "/stream/x");
+    assert_eq!(desk.attempt(1).workspace, Some("families".into()));
+}
+
+#[test]
+fn requests_spread_over_endpoints_by_load() {
+    let mut desk = Desk::open(TWO);
+    for id in 1..=8 {
+        desk.send(id, "/stream/x");
+    }
+    let first = (1..=8).filter(|id| *desk.attempt(*id).target == *"e1").count();
+    assert_eq!(first, 4);
+}
+
+#[test]
+fn request_without_room_waits_and_goes_when_one_ends() {
+    let mut desk = Desk::open(TWO);
+    for id in 1..=9 {
+        desk.send(id, "/stream/x");
+    }
+    assert!(desk.last(9).is_none());
+    desk.apply(Event::Ended(3, End::Answered));
+    assert_eq!(desk.attempt(9).target, desk.attempt(3).target);
+}
+
+#[test]
+fn request_without_room_in_time_is_refused_as_not_run() {
+    let mut desk = Desk::open(TWO);
+    for id in 1..=9 {
+        desk.send(id, "/stream/x");
+    }
+    desk.pass(1000);
+    assert_eq!(desk.refusal(9).reason, Reason::TooLate);
+    assert_eq!(desk.refusal(9).reason.status(), 429);
+    assert!(desk.refusal(9).retry_after.is_some());
+}
+
+#[test]
+fn request_beyond_the_queue_is_refused_at_once() {
+    let mut desk = Desk::open(TWO);
+    for id in 1..=30 {
+        desk.send(id, "/stream/x");
+    }
+    assert_eq!(desk.refusal(30).reason, Reason::QueueFull);
+}
+
+#[test]
+fn stream_that_breaks_off_goes_on_elsewhere() {
+    let mut desk = Desk::open(TWO);
+    desk.send(1, "/stream/x");
+    let first = desk.attempt(1).target;
+    desk.apply(Event::Ended(1, LOST));
+    assert_ne!(desk.attempt(1).target, first);
+    desk.apply(Event::Ended(1, LOST));
+    assert_eq!(desk.refusal(1).reason, Reason::Lost);
+}
+
+#[test]
+fn booking_that_may_have_run_is_never_sent_again_nor_called_not_run() {
+    let mut desk = Desk::open(PLAIN);
+    desk.send(1, "/book/x");
+    desk.apply(Event::Ended(1, LOST));
+    assert_eq!(desk.decisions[&1].len(), 2);
+    assert_eq!(desk.refusal(1).reason.status(), 502);
+}
+
+#[test]
+fn booking_that_was_declined_is_sent_to_another_endpoint() {
+    let mut desk = Desk::open(PLAIN);
+    desk.send(1, "/book/x");
+    let first = desk.attempt(1).target;
+    desk.apply(Event::Ended(1, End::Declined { status: 503 }));
+    assert_ne!(desk.attempt(1).target, first);
+    desk.apply(Event::Ended(1, End::Declined { status: 503 }));
+    assert_eq!(desk.refusal(1).reason.status(), 503);
+}
+
+#[test]
+fn booking_whose_time_is_over_is_not_called_not_run() {
+    let mut desk = Desk::open(PLAIN);
+    desk.send(1, "/book/x");
+    desk.apply(Event::Ended(1, End::TimedOut { begun: false }));
+    assert_eq!(desk.refusal(1).reason.status(), 504);
+}
+
+#[test]
+fn endpoint_out_of_reach_costs_no_attempt() {
+    let mut desk = Desk::open(PLAIN);
+    desk.send(1, "/read/x");
+    desk.apply(Event::Ended(1, End::Unreachable));
+    assert_eq!(desk.attempt(1).number, 1);
+}
+
+#[test]
+fn repeats_stay_within_the_budget() {
+    let many: Vec<String> = (0..60).map(|at| format!("p{at}")).collect();
+    let targets: Vec<(&str, &str, &str, u32)> =
+        many.iter().map(|id| (id.as_str(), "desk", "a", 6)).collect();
+    let mut desk = Desk::open(&targets);
+    let mut repeats = 0;
+    for id in 1..=200 {
+        desk.send(id, "/read/x");
+        if !matches!(desk.last(id), Some(Decision::Send(_))) {
+            continue;
+        }
+        desk.apply(Event::Ended(id, LOST));
+        if matches!(desk.last(id), Some(Decision::Send(_))) {
+            repeats += 1;
+            desk.apply(Event::Ended(id, LOST));
+        }
+    }
+    assert!(repeats <= 20 + 20, "{repeats} repeats");
+}
+
+#[test]
+fn endpoint_without_progress_is_left() {
+    let mut desk = Desk::open(TWO);
+    desk.send(1, "/stream/x");
+    let target = desk.attempt(1).target;
+    desk.state.note_progress(&target, desk.now);
+    desk.state.note_begun(1);
+    desk.pass(1000);
+    assert_eq!(desk.abandoned, [1]);
+}
+
+#[test]
+fn endpoint_is_not_blamed_for_a_pause_of_the_daemon() {
+    let mut desk = Desk::open(TWO);
+    desk.send(1, "/stream/x");
+    let target = desk.attempt(1).target;
+    desk.state.note_progress(&target, desk.now);
+    desk.state.note_begun(1);
+    desk.now = desk.now + Duration::from_secs(5);
+    desk.pass(100);
+    assert!(desk.abandoned.is_empty());
+}
+
+#[test]
+fn document_never_goes_back() {
+    let mut desk = Desk::open(TWO);
+    desk.hear(Body::Document(Bytes { version: 9, body: b"9".to_vec() }));
+    desk.hear(Body::Document(Bytes { version: 4, body: b"4".to_vec() }));
+    assert_eq!(desk.state.document().map(|document| document.version), Some(9));
+}
+
+#[test]
+fn document_older_than_the_leader_s_does_not_make_a_daemon_ready() {
+    let mut desk = Desk::starting();
+    desk.apply(Event::Opened(CONTROL.into()));
+    desk.hear(Body::Document(Bytes { version: 3, body: b"3".to_vec() }));
+    desk.status(5, &[]);
+    assert!(!desk.state.is_ready());
+    desk.hear(Body::Document(Bytes { version: 5, body: b"5".to_vec() }));
+    desk.status(5, &[]);
+    assert!(desk.state.is_ready());
+}
+
+#[test]
+fn crash_counts_only_if_the_endpoint_has_ended() {
+    let mut desk = Desk::open(TWO);
+    desk.send(1, "/stream/x");
+    desk.apply(Event::Ended(1, LOST));
+    desk.pass(200);
+    assert!(desk.crashed.is_empty());
+    let first = desk.decisions[&1].first().cloned();
+    let Some(Decision::Send(attempt)) = first else { panic!("not sent") };
+    let rest: Vec<_> = TWO.iter().filter(|target| *target.0 != *attempt.target).copied().collect();
+    desk.view(2, &rest);
+    desk.pass(200);
+    assert_eq!(desk.crashed, [1]);
+}
+
+#[test]
+fn request_that_crashes_endpoints_is_refused_everywhere() {
+    let mut desk = Desk::open(TWO);
+    desk.status(1, &[77]);
+    let mut request = request(1, "/stream/x", desk.now);
+    request.fingerprint = 77;
+    desk.apply(Event::Arrived(Box::new(request)));
+    assert_eq!(desk.refusal(1).reason, Reason::Crashing);
+    desk.send(2, "/stream/x");
+    assert_eq!(desk.attempt(2).number, 1);
+}
+
+#[test]
+fn split_follows_the_weights() {
+    let mut route = route("split", Kind::Idempotent, "desk");
+    route.split =
+        [Share { service: "x".into(), weight: 9 }, Share { service: "y".into(), weight: 1 }]
+            .into_iter()
+            .collect();
+    let route = Arc::new(route);
+    let first = (0..1000).filter(|draw| route.choose(*draw) == Some(&"x".into())).count();
+    assert_eq!(first, 900);
+}
