--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -50,7 +50,7 @@
     pub received: u64,
 }
 
-/// Why a request gets no answer from an endpoint. The set is closed; see `docs/operations.md`.
+/// Why a request gets no answer from an endpoint. The set is closed; see `docs/OPERATIONS.md`.
 #[derive(
     Clone,
     Copy,
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -276,7 +276,8 @@
             .iter()
             .filter(|(name, free)| {
                 let warm = warm(field, free, &model.name);
-                let fit = if field.traffic { warm } else { free.len() };
+                let first = counts.get(&model.name).copied().unwrap_or(0) == 0;
+                let fit = if field.traffic && !first { warm } else { free.len() };
                 fit >= model.size && !(waits && releasing.contains(*name))
             })
             .max_by_key(|(name, free)| {
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -59,8 +59,8 @@
         self.staged.retain(|_, at| now.since(*at) < STAGE_AGAIN);
         let forming = |name: &Name| self.tended.get(name).is_some_and(|tended| !tended.opened);
         let mut names = field.machine.groups.keys().map(|name| name.as_str().into());
-        let early = !field.traffic && names.any(|name| forming(&name));
-        if field.machine.groups.is_empty() || early {
+        let none = field.machine.groups.is_empty();
+        if !field.traffic && (none || names.any(|name| forming(&name))) {
             return;
         }
         let document = field.document;
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -143,6 +143,17 @@
     assert!(world.open_groups() >= 6, "{} groups", world.open_groups());
 }
 
+/// Callers may come before the first group is formed, and no VM holds a model then.
+#[test]
+fn groups_form_although_callers_came_first() {
+    let mut world = World::open(2);
+    world.traffic = true;
+    assert!(world.run_until(SECOND * 5, |world| world.leader().is_some()), "no leader");
+    world.put(&names()[0], "1");
+    assert!(world.run_until(SECOND * 40, |world| world.open_groups() >= 4), "no groups");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
 #[test]
 fn group_that_loses_a_member_is_formed_anew() {
     let mut world = serving(2);
--- /dev/null
+++ b/crates/gateway/tests/http.rs
@@ -0,0 +1,127 @@
+//! Framing of HTTP messages over real sockets.
+
+use dotterelhoist_gateway::http::{Body, Connection, Error, Framing};
+use futures_lite::AsyncWriteExt;
+use rstest::rstest;
+use smol::net::{TcpListener, TcpStream};
+
+/// A connection at whose other end `bytes` were written; it stays open if `open` is set.
+async fn receiving(bytes: &[u8], open: bool) -> (Connection, Option<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let mut sender = TcpStream::connect(address).await.expect("it listens");
+    let (stream, _) = listener.accept().await.expect("it was connected");
+    sender.write_all(bytes).await.expect("it is read");
+    let kept = if open { Some(sender) } else { None };
+    (Connection::open(stream), kept)
+}
+
+#[rstest]
+#[case::two_lengths("Content-Length: 3\r\nContent-Length: 4\r\n")]
+#[case::length_and_chunks("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n")]
+#[case::list_of_lengths("Content-Length: 3, 3\r\n")]
+#[case::signed_length("Content-Length: +3\r\n")]
+#[case::other_encoding("Transfer-Encoding: gzip, chunked\r\n")]
+#[case::two_encodings("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n")]
+fn request_with_ambiguous_framing_is_malformed(#[case] headers: &str) {
+    smol::block_on(async {
+        let bytes = format!("POST /x HTTP/1.1\r\nHost: h\r\n{headers}\r\nabc");
+        let (mut connection, _open) = receiving(bytes.as_bytes(), true).await;
+        let head = connection.request_head(8192).await;
+        assert!(matches!(head, Err(Error::Malformed(_))), "{head:?}");
+    });
+}
+
+#[test]
+fn request_target_is_kept_as_sent() {
+    smol::block_on(async {
+        let bytes = b"GET /a/../b%2f//c?x=%41&y HTTP/1.1\r\nHost: h\r\n\r\n";
+        let (mut connection, _open) = receiving(bytes, true).await;
+        let head = connection.request_head(8192).await.expect("it is well formed");
+        assert_eq!(&*head.target, "/a/../b%2f//c?x=%41&y");
+    });
+}
+
+#[test]
+fn requests_pipelined_are_read_one_after_the_other() {
+    smol::block_on(async {
+        let first = "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+        let second = "GET /2 HTTP/1.1\r\n\r\n";
+        let (mut connection, _open) = receiving(format!("{first}{second}").as_bytes(), true).await;
+        let head = connection.request_head(8192).await.expect("the first is well formed");
+        let body = connection.body(head.framing, 100).await.expect("its body is whole");
+        assert_eq!((&*head.target, &*body), ("/1", b"abc".as_slice()));
+        let head = connection.request_head(8192).await.expect("the second is well formed");
+        assert_eq!(&*head.target, "/2");
+    });
+}
+
+#[test]
+fn head_too_long_is_told_apart() {
+    smol::block_on(async {
+        let bytes = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(9000));
+        let (mut connection, _open) = receiving(bytes.as_bytes(), true).await;
+        let head = connection.request_head(1000).await;
+        assert!(matches!(head, Err(Error::HeadTooLong)), "{head:?}");
+    });
+}
+
+#[rstest]
+#[case::length("Content-Length: 5\r\n\r\nhello", false, Some("hello"))]
+#[case::chunks(
+    "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n",
+    true,
+    Some("hello")
+)]
+#[case::to_the_end("\r\nhello", false, Some("hello"))]
+#[case::length_cut("Content-Length: 9\r\n\r\nhello", false, None)]
+#[case::chunks_cut("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false, None)]
+#[case::chunk_too_long("Transfer-Encoding: chunked\r\n\r\n2\r\nhello\r\n0\r\n\r\n", true, None)]
+#[case::chunk_without_size("Transfer-Encoding: chunked\r\n\r\nxyz\r\n", true, None)]
+fn answer_body_is_whole_or_an_error(
+    #[case] rest: &str,
+    #[case] open: bool,
+    #[case] whole: Option<&str>,
+) {
+    smol::block_on(async {
+        let bytes = format!("HTTP/1.1 200 OK\r\n{rest}");
+        let (mut connection, _open) = receiving(bytes.as_bytes(), open).await;
+        let head = connection.response_head("GET", 8192).await.expect("the head is well formed");
+        let body = connection.body(head.framing, 100).await;
+        match whole {
+            Some(whole) => assert_eq!(&*body.expect("the body is whole"), whole.as_bytes()),
+            None => assert!(body.is_err()),
+        }
+    });
+}
+
+#[test]
+fn answer_interim_is_passed_over() {
+    smol::block_on(async {
+        let bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+        let (mut connection, _open) = receiving(bytes, true).await;
+        let head = connection.response_head("POST", 8192).await.expect("it is well formed");
+        assert_eq!((head.status, head.framing), (204, Framing::Length(0)));
+    });
+}
+
+#[test]
+fn connection_with_bytes_that_nobody_asked_for_is_not_quiet() {
+    smol::block_on(async {
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+        let (mut connection, _open) = receiving(answer, true).await;
+        let head = connection.response_head("GET", 8192).await.expect("it is well formed");
+        let mut body = Body::new(head.framing);
+        while connection.part(&mut body).await.expect("the body is whole").is_some() {}
+        assert!(!connection.is_quiet());
+    });
+}
+
+#[test]
+fn connection_closed_by_the_other_side_is_not_quiet() {
+    smol::block_on(async {
+        let (mut connection, _) = receiving(b"", false).await;
+        assert_eq!(connection.fill().await.expect("it was closed in order"), 0);
+        assert!(!connection.is_quiet());
+    });
+}
