Weigh the work of models by the length of their requests; keep freed endpoints for the model they were freed for

Groups that were dissolved for the large model were given back to the small one, because their members came free one group after the other (log: 243 at 18.6 s, 242 of the small at 19.4 s). Ruled out: slow elections (1.3 s after the kill). Change: work weighs with the square root of the mean length of its requests; a domain is kept for the poor model.

--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -36,8 +36,24 @@
     loads_due: Instant,
 }
 
-/// Work that is asked of the models of a service, in groups that it keeps busy.
-pub type Demands = BTreeMap<(Name, Name), f64>;
+/// Work that is asked of the models of each service.
+pub type Demands = BTreeMap<(Name, Name), Work>;
+
+/// Work that is asked of a model.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Work {
+    /// Groups that it keeps busy.
+    pub groups: f64,
+    /// Requests a second.
+    pub requests: f64,
+}
+
+impl Work {
+    /// Seconds of a group's time that one request takes on average.
+    pub fn mean(&self) -> f64 {
+        self.groups / self.requests.max(f64::MIN_POSITIVE)
+    }
+}
 
 /// The side of a control daemon that faces the entry daemons.
 #[derive(Debug, Default)]
@@ -77,7 +93,9 @@
         let Some(listener) = self.listeners.get_mut(from) else { return };
         for demand in &report.demand {
             let key = (demand.service.as_str().into(), demand.model.as_str().into());
-            *self.demand.entry(key).or_default() += demand.seconds / DEMAND_SPAN.as_secs_f64();
+            let work = self.demand.entry(key).or_default();
+            work.groups += demand.seconds / DEMAND_SPAN.as_secs_f64();
+            work.requests += f64::from(demand.requests) / DEMAND_SPAN.as_secs_f64();
         }
         for id in &report.progress {
             self.progress.insert(id.as_str().into(), now);
@@ -93,7 +111,7 @@
         listener.report = report;
     }
 
-    /// Work that is asked of each model, in groups that it keeps busy.
+    /// Work that is asked of each model.
     pub fn demand(&self) -> &Demands {
         &self.demand
     }
@@ -120,7 +138,10 @@
         }
         self.decayed = now;
         let factor = (-passed / DEMAND_SPAN.as_secs_f64()).exp();
-        self.demand.values_mut().for_each(|demand| *demand *= factor);
+        for work in self.demand.values_mut() {
+            work.groups *= factor;
+            work.requests *= factor;
+        }
         self.crashes.forget(now);
         self.progress.retain(|_, at| now.since(*at) < REPORT_TTL * 4);
         self.suspects.retain(|_, at| now.since(*at) < SUSPECT_TTL);
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -140,6 +140,8 @@
     proposed: BTreeMap<Name, Instant>,
     loads: staging::Ceiling,
     staged: BTreeMap<Name, Instant>,
+    /// Fabric domains in which groups were dissolved for a model.
+    kept: forming::Kept,
     /// When a group was last dissolved for another.
     converted: Option<Instant>,
     /// Number of endpoints, and since when it has been the same.
@@ -159,6 +161,7 @@
             proposed: BTreeMap::new(),
             loads: staging::Ceiling::default(),
             staged: BTreeMap::new(),
+            kept: BTreeMap::new(),
             converted: None,
             counted: None,
         }
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -30,8 +30,17 @@
 /// Work that is assumed for each model besides what callers ask, in groups.
 const WANTED_MIN: f64 = 0.2;
 
+/// Least weight of a model whose requests are short.
+const LENGTH_MIN: f64 = 0.7;
+/// Largest weight of a model whose requests are long.
+const LENGTH_MAX: f64 = 1.5;
+/// Time for which the endpoints of a domain are kept for the model that groups were dissolved for.
+const KEEP_FOR: Duration = Duration::from_secs(8);
+
 /// Free endpoints by fabric domain.
 pub(super) type Domains = BTreeMap<Name, Vec<Name>>;
+/// Fabric domains whose endpoints are kept for a model, and until when.
+pub(super) type Kept = BTreeMap<Name, (Name, Instant)>;
 /// Number of groups by model.
 type Counts = BTreeMap<Name, usize>;
 
@@ -45,6 +54,7 @@
 /// Groups to dissolve for a model that lacks groups.
 struct Conversion<'a, 'b> {
     model: &'a Model,
+    domain: Name,
     groups: Vec<&'b Group>,
 }
 
@@ -90,7 +100,11 @@
         changes: &mut Vec<Change>,
         effects: &mut Vec<Effect>,
     ) {
-        while let Some((model, domain)) = choose(field, plan, domains, counts, lacking) {
+        let now = field.now;
+        self.kept.retain(|_, (_, until)| now < *until);
+        while let Some((model, domain)) = choose(field, plan, domains, counts, lacking, &self.kept)
+        {
+            self.kept.remove(&domain);
             let Some(free) = domains.get_mut(&domain) else { break };
             let members = pick(field, free, model);
             let place = self.place(field, plan.service, model, &members);
@@ -177,6 +191,7 @@
             return true;
         }
         self.converted = Some(now);
+        self.kept.insert(conversion.domain, (conversion.model.name.clone(), now + KEEP_FOR));
         for group in conversion.groups {
             changes.push(Change::Doom(Doom { group: group.name.clone(), graceful: true }));
             let poor = &conversion.model.name;
@@ -204,15 +219,21 @@
     counts
 }
 
-/// Groups that a model's work keeps busy, by what callers ask or else by the expected share.
+/// Weight of a model's work: the groups that it keeps busy by what callers ask, or else the expected
+/// share. Requests that take long wait longer for each other at the same load, so their work weighs
+/// more, with the square root of their length.
 pub(super) fn wanted(field: &Field<'_>, service: &Service, engine: &Engine, model: &Model) -> f64 {
-    let demand = |model: &Model| {
+    let work = |model: &Model| {
         let key = (service.name.clone(), model.name.clone());
-        field.demand.get(&key).copied().unwrap_or(0.0)
+        field.demand.get(&key).copied().unwrap_or_default()
     };
-    let total: f64 = engine.models.iter().map(demand).sum();
-    if field.traffic && total > 1.0 {
-        return demand(model) + WANTED_MIN;
+    let groups: f64 = engine.models.iter().map(|model| work(model).groups).sum();
+    let requests: f64 = engine.models.iter().map(|model| work(model).requests).sum();
+    if field.traffic && groups > 1.0 {
+        let own = work(model);
+        let mean = groups / requests.max(f64::MIN_POSITIVE);
+        let length = if own.requests > 0.1 { (own.mean() / mean).sqrt() } else { 1.0 };
+        return own.groups * length.clamp(LENGTH_MIN, LENGTH_MAX) + WANTED_MIN;
     }
     let shares: f64 = engine.models.iter().map(|model| model.share).sum();
     model.share / shares.max(f64::MIN_POSITIVE) / model.size.max(1) as f64
@@ -256,6 +277,7 @@
     domains: &Domains,
     counts: &Counts,
     lacking: bool,
+    kept: &Kept,
 ) -> Option<(&'a Model, Name)> {
     let Plan { service, engine, targets } = plan;
     let lacks = |model: &Model| {
@@ -275,6 +297,9 @@
         let domain = domains
             .iter()
             .filter(|(name, free)| {
+                if kept.get(*name).is_some_and(|(kept, _)| *kept != model.name) {
+                    return false;
+                }
                 let warm = warm(field, free, &model.name);
                 let first = counts.get(&model.name).copied().unwrap_or(0) == 0;
                 let fit = if field.traffic && !first { warm } else { free.len() };
@@ -327,7 +352,7 @@
         .filter(|model| count(model) < target(model))
         .max_by(|a, b| load(a).total_cmp(&load(b)))?;
     let releasing = releasing(field);
-    let mut best: Option<Vec<&Group>> = None;
+    let mut best: Option<(Name, Vec<&Group>)> = None;
     for rich in engine.models.iter().filter(|rich| rich.name != poor.name) {
         for (domain, groups) in groups_by_domain(field, &rich.name) {
             let free = domains.get(&domain).map(Vec::as_slice).unwrap_or_default();
@@ -344,12 +369,12 @@
             if load(poor) < then * CONVERT_GAIN {
                 continue;
             }
-            if best.as_ref().is_none_or(|chosen| needed < chosen.len()) {
-                best = Some(chosen);
+            if best.as_ref().is_none_or(|(_, chosen)| needed < chosen.len()) {
+                best = Some((domain, chosen));
             }
         }
     }
-    best.map(|groups| Conversion { model: poor, groups })
+    best.map(|(domain, groups)| Conversion { model: poor, domain, groups })
 }
 
 /// Groups of a model that take requests, by fabric domain.
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -119,7 +119,8 @@
     crashed: Vec<u64>,
     /// Requests that are refused because they crash endpoints.
     crashing: BTreeSet<u64>,
-    demand: BTreeMap<(Name, Name), f64>,
+    /// Seconds of a group's time and requests, by service and model.
+    demand: BTreeMap<(Name, Name), (f64, u32)>,
     traffic: bool,
     started: Instant,
     report_due: Instant,
@@ -343,10 +344,11 @@
                 .map(|(id, count)| Running { id: id.to_string(), count })
                 .collect(),
             demand: demand
-                .map(|((service, model), seconds)| Demand {
+                .map(|((service, model), (seconds, requests))| Demand {
                     service: service.to_string(),
                     model: model.to_string(),
                     seconds,
+                    requests,
                 })
                 .collect(),
             suspects: self.targets.suspects(now),
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -154,6 +154,9 @@
     /// Seconds of a group's time.
     #[prost(double, tag = "3")]
     pub seconds: f64,
+    /// Number of requests.
+    #[prost(uint32, tag = "4")]
+    pub requests: u32,
 }
 
 /// What an entry daemon tells the control daemons at regular intervals.
