Choose endpoints by the prompt tokens that wait there

Change: entry daemons report the prompt tokens of requests that have not begun; the wait counts those and running requests.

--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -213,8 +213,12 @@
     /// Requests that run at each endpoint of the view, in its order.
     fn loads(&self, now: Instant, reader: &Name) -> Loads {
         let count = self.feed.targets.len();
-        let mut loads =
-            Loads { sequence: self.feed.sequence, running: vec![0; count], own: vec![0; count] };
+        let mut loads = Loads {
+            sequence: self.feed.sequence,
+            running: vec![0; count],
+            own: vec![0; count],
+            backlog: vec![0; count],
+        };
         let places: BTreeMap<&str, usize> =
             self.feed.targets.iter().enumerate().map(|(at, t)| (t.id.as_str(), at)).collect();
         for (name, listener) in &self.feed.listeners {
@@ -226,6 +230,8 @@
                 loads.running[*at] += running.count;
                 if name == reader {
                     loads.own[*at] = running.count;
+                } else {
+                    loads.backlog[*at] += running.backlog;
                 }
             }
         }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -341,7 +341,7 @@
             running: self
                 .targets
                 .running()
-                .map(|(id, count)| Running { id: id.to_string(), count })
+                .map(|(id, count, backlog)| Running { id: id.to_string(), count, backlog })
                 .collect(),
             demand: demand
                 .map(|((service, model), (seconds, requests))| Demand {
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -137,7 +137,7 @@
             deadline: active.deadline,
             number: active.attempts,
         };
-        self.targets.sent(&target, now);
+        self.targets.sent(&target, active.request.prompt, now);
         effects.push(Effect::Decide(id, Decision::Send(attempt)));
     }
 
@@ -197,14 +197,14 @@
         }
         active.begun = true;
         if let Some(target) = &active.at {
-            self.targets.begun(target);
+            self.targets.begun(target, active.request.prompt);
         }
     }
 
     pub(super) fn ended(&mut self, now: Instant, id: u64, end: End, effects: &mut Vec<Effect>) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(target) = active.at.take() else { return };
-        self.targets.ended(&target, active.begun);
+        self.targets.ended(&target, active.begun, active.request.prompt);
         active.begun = false;
         match &end {
             End::Answered => self.targets.succeeded(&target),
@@ -345,7 +345,7 @@
         let Some(active) = self.requests.remove(&id) else { return };
         self.queue.remove(&active.need, id);
         if let Some(target) = &active.at {
-            self.targets.ended(target, active.begun);
+            self.targets.ended(target, active.begun, active.request.prompt);
         }
         self.pump(now, effects);
     }
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -36,10 +36,12 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// Failure rate from which an endpoint counts as failing although some requests succeed.
 const FAILING: f64 = 0.3;
-/// Requests that another availability zone must have fewer to be preferred, as a part of the slots.
-const ZONE_PENALTY: f64 = 0.06;
-/// Random part of the comparison of loads, as a part of the slots.
-const JITTER: f64 = 0.05;
+/// Prompt tokens that take about as long to read as one running request delays a new one.
+const TOKENS_PER_REQUEST: f64 = 120.0;
+/// Prompt tokens that another availability zone must have fewer to be preferred.
+const ZONE_PENALTY: f64 = 300.0;
+/// Random part of the comparison of endpoints, in prompt tokens.
+const JITTER: f64 = 120.0;
 /// Requests beyond its slots that a plain endpoint is given, as a part of the slots.
 const PLAIN_QUEUE: f64 = 1.0;
 /// Requests beyond its slots that a group is given, as a part of the slots.
@@ -60,6 +62,10 @@
     others: u32,
     /// Requests of this daemon whose answer has begun.
     begun: u32,
+    /// Prompt tokens of the requests of this daemon whose answer has not begun.
+    backlog: u32,
+    /// The same of other daemons.
+    others_backlog: u32,
     /// When it last sent a part of an answer, or got its first request after a time without.
     progress: Instant,
     /// Usual time between parts of answers, in seconds.
@@ -137,6 +143,7 @@
             let running = loads.running.get(at).copied().unwrap_or(0);
             let own = loads.own.get(at).copied().unwrap_or(0);
             target.others = running.saturating_sub(own);
+            target.others_backlog = loads.backlog.get(at).copied().unwrap_or(0);
         }
     }
 
@@ -154,7 +161,7 @@
             }
             let noise = (draw.rotate_left(at as u32 * 7) & 0xff) as f64 / 256.0 * JITTER;
             let far = if *target.entry.zone == *self.zone { 0.0 } else { ZONE_PENALTY };
-            let score = target.load() / f64::from(target.entry.slots.max(1)) + noise + far;
+            let score = target.wait() + noise + far;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, id));
             }
@@ -178,27 +185,31 @@
     }
 
     /// Notes a send.
-    pub fn sent(&mut self, id: &Name, now: Instant) {
+    pub fn sent(&mut self, id: &Name, prompt: u32, now: Instant) {
         let Some(target) = self.targets.get_mut(id) else { return };
         if target.running == 0 {
             target.progress = now;
         }
         target.running += 1;
+        target.backlog += prompt;
     }
 
     /// Notes that an answer has begun.
-    pub fn begun(&mut self, id: &Name) {
+    pub fn begun(&mut self, id: &Name, prompt: u32) {
         if let Some(target) = self.targets.get_mut(id) {
             target.begun += 1;
+            target.backlog = target.backlog.saturating_sub(prompt);
         }
     }
 
     /// Notes the end of an attempt.
-    pub fn ended(&mut self, id: &Name, begun: bool) {
+    pub fn ended(&mut self, id: &Name, begun: bool, prompt: u32) {
         let Some(target) = self.targets.get_mut(id) else { return };
         target.running = target.running.saturating_sub(1);
         if begun {
             target.begun = target.begun.saturating_sub(1);
+        } else {
+            target.backlog = target.backlog.saturating_sub(prompt);
         }
     }
 
@@ -277,10 +288,10 @@
         }
     }
 
-    /// Requests of this daemon by endpoint.
-    pub fn running(&self) -> impl Iterator<Item = (&Name, u32)> {
+    /// Requests of this daemon by endpoint, and the prompt tokens of those that have not begun.
+    pub fn running(&self) -> impl Iterator<Item = (&Name, u32, u32)> {
         let busy = self.targets.iter().filter(|(_, target)| target.running > 0);
-        busy.map(|(id, target)| (id, target.running))
+        busy.map(|(id, target)| (id, target.running, target.backlog))
     }
 
     /// Endpoints that are suspected.
@@ -312,6 +323,8 @@
             running: 0,
             others: 0,
             begun: 0,
+            backlog: 0,
+            others_backlog: 0,
             progress: now,
             gap: GAP_DEFAULT.as_secs_f64(),
             moved: false,
@@ -331,6 +344,11 @@
         f64::from(self.running + self.others)
     }
 
+    /// How long a new request would wait, as prompt tokens that are read first.
+    fn wait(&self) -> f64 {
+        f64::from(self.backlog + self.others_backlog) + self.load() * TOKENS_PER_REQUEST
+    }
+
     fn limit(&self) -> f64 {
         let beyond = if self.entry.group.is_empty() { PLAIN_QUEUE } else { GROUP_QUEUE };
         f64::from(self.entry.slots) * (1.0 + beyond)
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -129,6 +129,9 @@
     /// Of these, the requests of the entry daemon that is told.
     #[prost(uint32, repeated, tag = "3")]
     pub own: Vec<u32>,
+    /// Prompt tokens of the requests of other entry daemons whose answers have not begun.
+    #[prost(uint32, repeated, tag = "4")]
+    pub backlog: Vec<u32>,
 }
 
 /// Requests of an entry daemon that run at one endpoint.
@@ -140,6 +143,9 @@
     /// Number of requests.
     #[prost(uint32, tag = "2")]
     pub count: u32,
+    /// Prompt tokens of those whose answer has not begun.
+    #[prost(uint32, tag = "3")]
+    pub backlog: u32,
 }
 
 /// Work that callers asked of a model since the last report.
