--- a/crates/fleet/src/entry/queue.rs
+++ b/crates/fleet/src/entry/queue.rs
@@ -16,6 +16,8 @@
     pub id: u64,
     /// Rank; 0 goes first.
     pub priority: u32,
+    /// Moment up to which it can still be answered on time; later ones give way to those that can.
+    pub fresh: Instant,
     /// Moment at which it is refused.
     pub until: Instant,
 }
@@ -50,14 +52,19 @@
         self.len(need) == 0
     }
 
-    /// First request that waits for a need.
-    pub fn first(&self, need: &Need) -> Option<u64> {
-        self.lists.get(need)?.front().map(|waiting| waiting.id)
+    /// Request that goes next: the first that can still be answered on time, else the first.
+    pub fn next(&self, need: &Need, now: Instant) -> Option<u64> {
+        let list = self.lists.get(need)?;
+        let fresh = list.iter().find(|waiting| now < waiting.fresh);
+        fresh.or(list.front()).map(|waiting| waiting.id)
     }
 
-    /// Takes out the first request that waits for a need.
-    pub fn pop(&mut self, need: &Need) -> Option<Waiting> {
-        self.lists.get_mut(need)?.pop_front()
+    /// Takes out the request that has waited longest of those that can't be answered on time.
+    pub fn pop_stale(&mut self, need: &Need, now: Instant) -> Option<u64> {
+        let list = self.lists.get_mut(need)?;
+        let stale = list.iter().enumerate().filter(|(_, waiting)| now >= waiting.fresh);
+        let (at, _) = stale.min_by_key(|(_, waiting)| waiting.fresh)?;
+        list.remove(at).map(|waiting| waiting.id)
     }
 
     /// Takes out a request.
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -17,8 +17,14 @@
 
 /// Time after which to come back when nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(500);
-/// Part of the target latency for which a request may wait for room.
-const PATIENCE: f64 = 0.6;
+/// Part of the target latency for which a request that waits can still be answered on time.
+const FRESH: f64 = 0.5;
+/// Multiple of the target latency for which a request may wait for room.
+const PATIENCE: f64 = 2.4;
+/// Longest time for which a request may wait for room; callers leave a stream that does not begin.
+const PATIENCE_MAX: Duration = Duration::from_millis(1200);
+/// Time from the start of a daemon to its readiness after the whole deployment was down.
+const START_SPAN: Duration = Duration::from_millis(2400);
 /// Requests that may wait for a need, as a part of what its endpoints run at once.
 const QUEUE_SHARE: f64 = 0.15;
 /// Requests that may wait for a need in any case.
@@ -54,7 +60,7 @@
             Ok(found) => found,
             Err(reason) => {
                 let later = reason.status() == 503 && reason != Reason::Crashing;
-                let retry_after = later.then_some(COME_BACK);
+                let retry_after = later.then(|| self.come_back_ready(now));
                 self.tell(id, &request.name, Refusal { reason, retry_after }, effects);
                 return;
             }
@@ -114,11 +120,12 @@
             self.fail(now, id, Reason::QueueFull, effects);
             return;
         }
-        let patience = active.route.target.mul_f64(PATIENCE);
+        let fresh = now + active.route.target.mul_f64(FRESH);
+        let patience = active.route.target.mul_f64(PATIENCE).min(PATIENCE_MAX);
         let until = (now + patience).min(active.deadline.before(LEAST_LEFT));
         let rank = active.workspace.as_ref().and_then(|workspace| workspace.priority);
         let priority = if active.attempts > 0 { 0 } else { rank.unwrap_or(active.route.priority) };
-        self.queue.push(need, Waiting { id, priority, until });
+        self.queue.push(need, Waiting { id, priority, fresh, until });
     }
 
     fn send(&mut self, now: Instant, id: u64, target: Name, effects: &mut Vec<Effect>) {
@@ -144,14 +151,14 @@
     /// Sends waiting requests for as long as there is room.
     pub(super) fn pump(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         for need in self.queue.needs() {
-            while let Some(id) = self.queue.first(&need) {
+            while let Some(id) = self.queue.next(&need, now) {
                 let draw = self.next_draw();
                 let tried = self.requests.get(&id).map(|active| active.tried.clone());
                 let tried = tried.unwrap_or_default();
                 let Found::Room(target) = self.targets.find(&need, &tried, now, draw) else {
                     break;
                 };
-                self.queue.pop(&need);
+                self.queue.remove(&need, id);
                 self.send(now, id, target, effects);
             }
         }
@@ -335,6 +342,13 @@
         (COME_BACK + spread).min(left / 4)
     }
 
+    /// When to come back to a daemon that is not ready: when it probably is.
+    fn come_back_ready(&mut self, now: Instant) -> Duration {
+        let spread = Duration::from_millis(self.next_draw() % 300);
+        let left = START_SPAN.saturating_sub(now.since(self.started));
+        left.max(COME_BACK) + spread
+    }
+
     fn tell(&self, id: u64, name: &Name, refusal: Refusal, effects: &mut Vec<Effect>) {
         let detail = format!("reason={} retry_after={:?}", refusal.reason, refusal.retry_after);
         effects.push(Effect::Log(journal::Event::new(122, "request refused", &**name, detail)));
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -268,6 +268,64 @@
     assert!(desk.refusal(9).retry_after.is_some());
 }
 
+/// Under overload a request that can still be on time goes before one that can't.
+#[test]
+fn request_that_is_already_late_gives_way() {
+    let mut desk = Desk::open(TWO);
+    for id in 1..=9 {
+        desk.send(id, "/stream/x");
+    }
+    desk.pass(250);
+    desk.send(10, "/stream/x");
+    desk.apply(Event::Ended(1, End::Answered));
+    assert!(matches!(desk.last(10), Some(Decision::Send(_))), "the fresh one goes first");
+    assert!(desk.last(9).is_none());
+    desk.apply(Event::Ended(2, End::Answered));
+    assert!(matches!(desk.last(9), Some(Decision::Send(_))));
+}
+
+/// Twice the work that the endpoints can do: those that are served are served on time.
+#[test]
+fn overload_at_twice_the_capacity_keeps_requests_on_time() {
+    let mut desk = Desk::open(TWO);
+    let (mut sent, mut on_time) = (0u64, 0u64);
+    let mut running: Vec<(Instant, u64)> = Vec::new();
+    let mut arrived: BTreeMap<u64, Instant> = BTreeMap::new();
+    for step in 0..400u64 {
+        for _ in 0..2 {
+            sent += 1;
+            arrived.insert(sent, desk.now);
+            desk.send(sent, "/stream/x");
+        }
+        for target in ["e1", "e2"] {
+            desk.state.note_progress(&target.into(), desk.now);
+        }
+        desk.pass(25);
+        for (id, came) in std::mem::take(&mut arrived) {
+            match desk.last(id) {
+                Some(Decision::Send(_)) => {
+                    let waited = desk.now.since(came);
+                    on_time += u64::from(waited < Duration::from_millis(200));
+                    running.push((desk.now + Duration::from_millis(200), id));
+                }
+                None => {
+                    arrived.insert(id, came);
+                }
+                _ => {}
+            }
+        }
+        let now = desk.now;
+        let (ended, rest) = running.drain(..).partition(|(end, _)| *end <= now);
+        running = rest;
+        let ended: Vec<(Instant, u64)> = ended;
+        for (_, id) in ended {
+            desk.apply(Event::Ended(id, End::Answered));
+        }
+        assert!(running.len() <= 8, "step {step}");
+    }
+    assert!(on_time * 100 >= sent * 35, "{on_time} of {sent} on time");
+}
+
 #[test]
 fn request_beyond_the_queue_is_refused_at_once() {
     let mut desk = Desk::open(TWO);
