--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,10 +21,9 @@
 use smol::Timer;
 
 use crate::dialect::{Call, Dialect};
-use crate::entry::serve_metrics;
 use crate::http::{within, Connection, RequestHead};
 use crate::links::{Links, News};
-use crate::metrics::Meter;
+use crate::metrics::{serve as serve_metrics, Meter};
 use crate::writer::Writer;
 use crate::{clock, journal, orders};
 
@@ -149,8 +148,7 @@
     executor.spawn(tick(shell.clone())).detach();
     executor.spawn(accept(shell.clone(), control)).detach();
     if let Some(address) = config.metrics {
-        let listener = TcpListener::bind(address).await.map_err(Error::Listen)?;
-        executor.spawn(serve_metrics(shell.meter.clone(), listener)).detach();
+        executor.spawn(serve_metrics(shell.meter.clone(), address)).detach();
     }
     stop.await;
     journal::write(&events::Event::new(204, "stopping", &*daemon, ""));
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -23,7 +23,7 @@
 use crate::http::{within, Connection, Error, Headers, RequestHead};
 use crate::journal;
 use crate::links::{Links, News};
-use crate::metrics::Meter;
+use crate::metrics::{serve as serve_metrics, Meter};
 use crate::upstream::Pool;
 
 pub use dotterelhoist_fleet::entry::Setup;
@@ -132,8 +132,7 @@
     executor.spawn(accept(shell.clone(), front, executor.clone())).detach();
     executor.spawn(answer_health(shell.clone(), ready, executor.clone())).detach();
     if let Some(address) = config.metrics {
-        let listener = TcpListener::bind(address).await?;
-        executor.spawn(serve_metrics(shell.meter.clone(), listener)).detach();
+        executor.spawn(serve_metrics(shell.meter.clone(), address)).detach();
     }
     stop.await;
     shell.shut_down(config.grace).await;
@@ -202,27 +201,6 @@
     }
 }
 
-/// Serves the metrics as text, one connection after the other.
-pub(crate) async fn serve_metrics(meter: Meter, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(TICK).await;
-            continue;
-        };
-        let mut connection = Connection::open(stream);
-        let answer = async {
-            connection.request_head(8 << 10).await.ok()?;
-            let text = meter.text();
-            let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n";
-            let bytes = format!("{head}Content-Length: {}\r\n\r\n{text}", text.len());
-            connection.write(bytes.as_bytes()).await.ok()
-        };
-        if within(Duration::from_secs(1), answer).await.is_none() {
-            continue;
-        }
-    }
-}
-
 impl<Speech> Shell<Speech>
 where
     Speech: Dialect,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,18 +5,32 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cadence::{Counted, MetricSink, StatsdClient};
+use dotterelhoist_fleet::journal::Event;
 use hdrhistogram::Histogram;
+use smol::net::TcpListener;
+use smol::Timer;
+
+use crate::http::{within, Connection};
+use crate::journal;
 
 /// Longest latency that is told apart, in microseconds.
 const LATENCY_MAX_US: u64 = 120_000_000;
 /// Significant digits of latencies.
 const DIGITS: u8 = 2;
 
+/// Time for one reader of the metrics.
+const READER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a connection that could not be accepted.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Longest head of a reader's request.
+const HEAD_MAX: usize = 8 << 10;
+
 /// Totals by name.
 #[derive(Clone, Debug, Default)]
 struct Totals {
@@ -90,3 +104,32 @@
         text
     }
 }
+
+/// Serves the metrics as text, to one reader after the other. A daemon whose metrics address is taken
+/// says so and goes on without.
+pub(crate) async fn serve(meter: Meter, address: SocketAddr) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            let detail = error.to_string();
+            let subject = address.to_string();
+            journal::write(&Event::new(313, "metrics not served", subject, detail));
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(PAUSE).await;
+            continue;
+        };
+        let mut connection = Connection::open(stream);
+        let answer = async {
+            connection.request_head(HEAD_MAX).await.ok()?;
+            let text = meter.text();
+            let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n";
+            let bytes = format!("{head}Content-Length: {}\r\n\r\n{text}", text.len());
+            connection.write(bytes.as_bytes()).await.ok()
+        };
+        within(READER_TIMEOUT, answer).await;
+    }
+}
