Judge no endpoint of a zone at either end of its cut; let replicas that start together stand at different moments

Change: silence proves something only if another daemon of the zone was heard after it, and counts from the zone's return; the first election is staggered by a hash of the replica's name. Connections to endpoints get 180 ms instead of 350. Tests: groups_of_a_zone_that_is_cut_off_are_kept and leader_is_found_soon_after_a_start_of_all fail without, pass with it.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -21,6 +21,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::clock::Instant;
 use crate::Name;
 
@@ -179,6 +181,7 @@
         outputs: &mut Vec<Output>,
     ) -> Replica {
         let snapshot = stored.snapshot.clone();
+        let stagger = stagger(&identity.replica, timing.jitter);
         let log = Log::open(stored.snapshot, stored.entries, founders.clone());
         if snapshot.index > 0 {
             outputs.push(Output::Restore(snapshot.clone()));
@@ -198,7 +201,7 @@
             progress: BTreeMap::new(),
             heard: now,
             heard_leader: None,
-            deadline: now + timing.election,
+            deadline: now + timing.election + stagger,
             next_heartbeat: now,
             sequence: 0,
             synced: 0,
@@ -888,3 +891,10 @@
         }
     }
 }
+
+/// Time by which a replica stands later after its start than another: replicas that start at the same
+/// moment would otherwise stand at the same moment and split the votes.
+fn stagger(replica: &str, jitter: Duration) -> Duration {
+    let span = jitter.as_millis() as u64;
+    Duration::from_millis(xxh3_64(replica.as_bytes()) % span.max(1))
+}
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -410,7 +410,8 @@
             self.feed.touch();
             return;
         }
-        if known.silent.is_none() {
+        let since = self.reach.since(&known.beat.zone);
+        if known.silent.is_none_or(|at| at < since) {
             known.silent = Some(now);
             let detail = format!("refused={refused} age_ms={}", now.since(known.heard).as_millis());
             let event = journal::Event::new(211, "endpoint does not answer", &**id, detail);
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -101,6 +101,12 @@
         !self.beat.gone && self.silent.is_none() && now.since(self.heard) < span
     }
 
+    /// Whether it gives signs of life, not counting silence from before `since`.
+    pub fn is_alive_since(&self, now: Instant, span: Duration, since: Instant) -> bool {
+        let silent = self.silent.is_some_and(|at| at >= since);
+        !self.beat.gone && !silent && now.since(self.heard.max(since)) < span
+    }
+
     /// Whether it can serve a model without a load from the weight store.
     pub fn is_warm(&self, model: &str) -> bool {
         self.served.as_deref() == Some(model)
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -263,7 +263,9 @@
             let progress = self.feed.progress.get(&*head.id);
             let moves = progress.is_some_and(|at| now.since(*at) < REPORT_TTL);
             let open = known.beat.stage_in(&group.name, group.epoch) == Some(Stage::Open);
-            let alive = known.is_usable(now, VIEW_TTL) || (moves && !known.beat.draining);
+            let since = self.reach.since(&known.beat.zone);
+            let alive = known.is_alive_since(now, VIEW_TTL, since) || moves;
+            let alive = alive && !known.beat.draining;
             let reachable = !self.reach.is_lost(&known.beat.zone, now);
             if open && alive && reachable && known.beat.born == head.born {
                 targets.push(target(&known.beat, &group.model, &group.name));
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -246,9 +246,13 @@
             for member in &group.members {
                 let id: Name = member.id.as_str().into();
                 let Some(known) = field.endpoints.find(&id) else { continue };
-                let quiet = now.since(known.heard) > self.times.quiet();
+                let zone = &known.beat.zone;
+                let since = field.reach.since(zone);
+                let quiet = now.since(known.heard.max(since)) > self.times.quiet();
                 let wanted = (quiet || suspect) && !moves && !known.beat.gone;
-                if wanted && !self.probing.contains_key(&id) && known.silent.is_none() {
+                let judged = known.silent.is_some_and(|at| at >= since);
+                let hidden = judged || field.reach.is_doubtful(zone, now);
+                if wanted && !hidden && !self.probing.contains_key(&id) {
                     self.probing.insert(id.clone(), now);
                     let address = known.beat.address.as_str().into();
                     effects.push(Effect::Probe { id, address });
@@ -343,11 +347,14 @@
             if known.beat.draining || known.beat.gone {
                 return Some(Loss::Draining);
             }
-            if field.reach.is_lost(&known.beat.zone, now) {
+            let unsure =
+                known.silent.is_some_and(|at| !field.reach.was_heard_after(&known.beat.zone, at));
+            if unsure || field.reach.is_doubtful(&known.beat.zone, now) {
                 continue;
             }
-            let silent = known.silent.is_some() || now.since(known.heard) > self.times.lost();
-            if silent && !moves {
+            let since = field.reach.since(&known.beat.zone);
+            let alive = known.is_alive_since(now, self.times.lost(), since);
+            if !alive && !moves {
                 return Some(Loss::Silent);
             }
         }
--- a/crates/fleet/src/control/reach.rs
+++ b/crates/fleet/src/control/reach.rs
@@ -1,7 +1,8 @@
 //! Which availability zones a daemon can reach.
 //!
 //! A zone none of whose daemons is heard of is cut off, or has lost its power. Its endpoints may well
-//! serve the callers of their zone, so nothing is concluded from their silence.
+//! serve the callers of their zone, so nothing is concluded from their silence, neither while the zone
+//! is out of reach nor from what was not heard in that time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,15 +13,25 @@
 
 /// Silence of all daemons of a zone after which it counts as out of reach.
 const SILENCE: Duration = Duration::from_millis(800);
+/// Silence of all daemons of a zone after which it may be out of reach.
+const DOUBT: Duration = Duration::from_millis(350);
 
 /// When the daemons of each zone were last heard of.
 #[derive(Debug, Default)]
 pub struct Reach {
     own: Option<Name>,
-    zones: BTreeMap<Name, Instant>,
+    zones: BTreeMap<Name, Heard>,
     daemons: BTreeMap<Name, Name>,
 }
 
+/// When the daemons of a zone were heard of.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    last: Instant,
+    /// Since when there was no doubt that the zone can be reached.
+    since: Instant,
+}
+
 impl Reach {
     /// Creates the reach of a daemon in `zone`.
     pub fn new(zone: Name) -> Reach {
@@ -29,16 +40,40 @@
 
     /// Notes the zone of a daemon.
     pub fn meet(&mut self, daemon: Name, zone: &str, now: Instant) {
-        self.daemons.insert(daemon, zone.into());
-        self.zones.insert(zone.into(), now);
+        self.daemons.insert(daemon.clone(), zone.into());
+        self.zones.entry(zone.into()).or_insert(Heard { last: now, since: now });
+        self.hear(&daemon, now);
     }
 
     /// Notes that a daemon was heard of.
     pub fn hear(&mut self, daemon: &Name, now: Instant) {
         let Some(zone) = self.daemons.get(daemon) else { return };
-        if let Some(heard) = self.zones.get_mut(zone) {
-            *heard = now;
+        let Some(heard) = self.zones.get_mut(zone) else { return };
+        if now.since(heard.last) > DOUBT {
+            heard.since = now;
+        }
+        heard.last = now;
+    }
+
+    /// Whether a zone that was once heard of may be out of reach.
+    pub fn is_doubtful(&self, zone: &str, now: Instant) -> bool {
+        self.is_silent(zone, now, DOUBT)
+    }
+
+    /// Whether a zone was heard of after `at`, so that what was silent there was silent by itself.
+    pub fn was_heard_after(&self, zone: &str, at: Instant) -> bool {
+        if self.own.as_deref() == Some(zone) {
+            return true;
         }
+        self.zones.get(zone).is_none_or(|heard| heard.last > at)
+    }
+
+    /// Since when there has been no doubt that a zone can be reached.
+    pub fn since(&self, zone: &str) -> Instant {
+        if self.own.as_deref() == Some(zone) {
+            return Instant::default();
+        }
+        self.zones.get(zone).map_or(Instant::default(), |heard| heard.since)
     }
 
     /// Whether a zone that was once heard of is out of reach.
@@ -54,9 +89,13 @@
     /// assert!(!reach.is_lost("a", Instant::from_millis(3000)));
     /// ```
     pub fn is_lost(&self, zone: &str, now: Instant) -> bool {
+        self.is_silent(zone, now, SILENCE)
+    }
+
+    fn is_silent(&self, zone: &str, now: Instant, span: Duration) -> bool {
         if self.own.as_deref() == Some(zone) {
             return false;
         }
-        self.zones.get(zone).is_some_and(|heard| now.since(*heard) > SILENCE)
+        self.zones.get(zone).is_some_and(|heard| now.since(heard.last) > span)
     }
 }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -81,6 +81,23 @@
     }
 }
 
+/// Daemons that start at the same moment must not split the votes.
+#[test]
+fn leader_is_found_soon_after_a_start_of_all() {
+    let mut world = World::open(1);
+    let patience = Duration::from_millis(1600);
+    assert!(world.run_until(patience, |world| world.leader().is_some()), "no leader at first");
+    for _ in 0..10 {
+        for name in names() {
+            world.kill(&name);
+        }
+        for name in names() {
+            world.start(&name, &format!("{name}#0"));
+        }
+        assert!(world.run_until(patience, |world| world.leader().is_some()), "no leader again");
+    }
+}
+
 /// A daemon that replays its log after a restart must not call an older document current.
 #[test]
 fn document_current_after_a_restart_of_all_is_the_newest() {
@@ -194,6 +211,34 @@
     assert!(world.open_groups() >= 4, "{} groups", world.open_groups());
 }
 
+/// The groups of a zone that is cut off serve the callers there; they are still the same afterwards.
+#[test]
+fn groups_of_a_zone_that_is_cut_off_are_kept() {
+    let mut world = serving(2);
+    let far: Vec<Name> = world.engines.keys().skip(8).cloned().collect();
+    let groups = |world: &World| -> Vec<_> {
+        far.iter().map(|id| world.engines[id].membership.clone()).collect()
+    };
+    let before = groups(&world);
+    world.zone_cut = true;
+    for id in &far {
+        if let Some(engine) = world.engines.get_mut(id) {
+            engine.cut = true;
+        }
+    }
+    world.suspects = far.iter().map(ToString::to_string).collect();
+    world.run(SECOND);
+    world.suspects.clear();
+    world.run(SECOND * 6);
+    world.zone_cut = false;
+    for id in &far {
+        world.mend(id);
+    }
+    world.run(SECOND * 6);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert_eq!(groups(&world), before);
+}
+
 #[test]
 fn head_that_says_that_it_ends_keeps_its_members_until_it_has_let_go() {
     let mut world = serving(2);
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -97,6 +97,10 @@
     /// Whether orders are lost and carried out twelve seconds later.
     pub late_orders: bool,
     pub traffic: bool,
+    /// Whether zone `y`, that of the second fabric domain, is cut off from the control daemons.
+    pub zone_cut: bool,
+    /// Endpoints that the entry daemon of the first zone suspects.
+    pub suspects: Vec<String>,
     /// Versions of documents that daemons said to be current.
     pub current: Vec<(Name, u64)>,
     inbox: Vec<(Name, Event)>,
@@ -119,6 +123,8 @@
             broken: Vec::new(),
             late_orders: false,
             traffic: false,
+            zone_cut: false,
+            suspects: Vec::new(),
             current: Vec::new(),
             inbox: Vec::new(),
             late: Vec::new(),
@@ -176,6 +182,8 @@
         self.carry_out(name, effects);
         let hello = Hello { daemon: "entry".into(), zone: "z".into(), control: false };
         self.inbox.push((name.clone(), Event::Opened(hello)));
+        let hello = Hello { daemon: "far".into(), zone: "y".into(), control: false };
+        self.inbox.push((name.clone(), Event::Opened(hello)));
     }
 
     /// Kills a control daemon; its disk stays as it was last synced.
@@ -259,6 +267,15 @@
         engine.beat_due = now;
     }
 
+    /// Ends a cut; the engine's next heartbeat comes when it is due.
+    pub fn mend(&mut self, id: &Name) {
+        let due = self.now + HEARTBEAT;
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.cut = false;
+            engine.beat_due = due;
+        }
+    }
+
     /// Lets an engine say that it ends; it goes on serving for two seconds.
     pub fn deregister(&mut self, id: &Name) {
         let end = self.now + Duration::from_secs(2);
@@ -291,11 +308,16 @@
             self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
             let draw = self.draw >> 33;
             if self.traffic && draw.is_multiple_of(6) {
-                let report = Report { traffic: true, ..Report::default() };
+                let suspects = self.suspects.clone();
+                let report = Report { traffic: true, suspects, ..Report::default() };
                 let event =
                     Event::Received { from: "entry".into(), body: Body::Report(report), draw };
                 self.apply(&name, event);
             }
+            if !self.zone_cut && draw.is_multiple_of(4) {
+                let body = Body::Report(Report::default());
+                self.apply(&name, Event::Received { from: "far".into(), body, draw });
+            }
             self.apply(&name, Event::Tick { draw });
         }
     }
@@ -532,7 +554,7 @@
             id: self.id.to_string(),
             service: "llm".into(),
             address: format!("10.9.0.1:{}", self.id.trim_start_matches('e')),
-            zone: "z".into(),
+            zone: if self.domain == "d1" { "y".into() } else { "z".into() },
             domain: self.domain.clone(),
             born: self.born,
             sequence: self.sequence,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,7 +14,7 @@
 use crate::http::{within, Connection};
 
 /// Time for a connection to be built.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(180);
 /// Time for which an idle connection is kept if its endpoint does not say.
 const IDLE_MAX: Duration = Duration::from_secs(4);
 /// Time by which a connection is given up before its endpoint does.
