--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -96,6 +96,39 @@
     pub entries: Vec<Entry>,
 }
 
+impl Stored {
+    /// Takes in a write, as the files do.
+    ///
+    /// ```
+    /// use dotterelhoist_core::replica::{Stored, Write};
+    ///
+    /// let mut stored = Stored::default();
+    /// stored.take_in(Write::Ballot { term: 3, vote: None });
+    /// assert_eq!(stored.term, 3);
+    /// ```
+    pub fn take_in(&mut self, write: Write) {
+        match write {
+            Write::Ballot { term, vote } => {
+                self.term = term;
+                self.vote = vote;
+            }
+            Write::Entries(entries) => {
+                for entry in entries {
+                    self.entries.retain(|old| old.index < entry.index);
+                    self.entries.push(entry);
+                }
+            }
+            Write::Snapshot(snapshot) => {
+                let covers =
+                    |entry: &Entry| entry.index == snapshot.index && entry.term == snapshot.term;
+                let agrees = self.entries.iter().any(covers);
+                self.entries.retain(|entry| agrees && entry.index > snapshot.index);
+                self.snapshot = snapshot;
+            }
+        }
+    }
+}
+
 /// What a replica wants written, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Write {
--- a/crates/core/tests/replica/net.rs
+++ b/crates/core/tests/replica/net.rs
@@ -176,7 +176,7 @@
         node.replica = None;
         node.life += 1;
         for (_, write) in node.unsynced.drain(..).take(kept) {
-            store(&mut node.disk, write);
+            node.disk.take_in(write);
         }
     }
 
@@ -235,7 +235,7 @@
                 if node.life == life {
                     while node.unsynced.first().is_some_and(|(at, _)| *at <= sequence) {
                         let (_, write) = node.unsynced.remove(0);
-                        store(&mut node.disk, write);
+                        node.disk.take_in(write);
                     }
                     if let Some(replica) = &mut node.replica {
                         replica.synced(now, sequence, &mut outputs);
@@ -384,27 +384,3 @@
         voters.iter().map(|voter| voter.replica.clone()).collect()
     }
 }
-
-/// What a write leaves on the disk.
-fn store(disk: &mut Stored, write: Write) {
-    match write {
-        Write::Ballot { term, vote } => {
-            disk.term = term;
-            disk.vote = vote;
-        }
-        Write::Entries(entries) => {
-            for entry in entries {
-                disk.entries.retain(|old| old.index < entry.index);
-                disk.entries.push(entry);
-            }
-        }
-        Write::Snapshot(snapshot) => {
-            let agrees = disk
-                .entries
-                .iter()
-                .any(|entry| entry.index == snapshot.index && entry.term == snapshot.term);
-            disk.entries.retain(|entry| agrees && entry.index > snapshot.index);
-            disk.snapshot = snapshot;
-        }
-    }
-}
--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -440,7 +440,7 @@
             let mut rest = VecDeque::new();
             for item in std::mem::take(&mut node.unsynced) {
                 if due(&item) {
-                    store(node.disks.entry(item.0).or_default(), item.2);
+                    node.disks.entry(item.0).or_default().take_in(item.2);
                 } else {
                     rest.push_back(item);
                 }
@@ -780,23 +780,3 @@
         }
     }
 }
-
-/// What a write leaves on the disk.
-fn store(disk: &mut Stored, write: Write) {
-    match write {
-        Write::Ballot { term, vote } => {
-            disk.term = term;
-            disk.vote = vote;
-        }
-        Write::Entries(entries) => {
-            for entry in entries {
-                disk.entries.retain(|old| old.index < entry.index);
-                disk.entries.push(entry);
-            }
-        }
-        Write::Snapshot(snapshot) => {
-            disk.entries.retain(|entry| entry.index > snapshot.index);
-            disk.snapshot = snapshot;
-        }
-    }
-}
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -400,7 +400,6 @@
         refused: bool,
         effects: &mut Vec<Effect>,
     ) {
-        self.planner.probed(id);
         let Some(known) = self.endpoints.find_mut(id) else { return };
         if let Some(said) = beat {
             known.heard = now;
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -231,9 +231,6 @@
         }
     }
 
-    /// Takes in the end of a probe.
-    pub fn probed(&mut self, _id: &Name) {}
-
     /// Probes endpoints that are silent or suspected.
     fn probe(&mut self, field: &mut Field<'_>, effects: &mut Vec<Effect>) {
         let now = field.now;
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -8,7 +8,7 @@
 
 use dotterelhoist_core::clock::Instant;
 use dotterelhoist_core::replica::message::Voter;
-use dotterelhoist_core::replica::{Identity, Stored, Write};
+use dotterelhoist_core::replica::{Identity, Stored};
 use dotterelhoist_fleet::control::planner::Times;
 use dotterelhoist_fleet::control::{Answer, Effect, Event, Reader, Setup, State};
 use dotterelhoist_fleet::document::{
@@ -343,7 +343,7 @@
                     self.inbox.push((to, event));
                 }
                 Effect::Persist(sequence, write) => {
-                    store(self.disks.entry(name.clone()).or_default(), write);
+                    self.disks.entry(name.clone()).or_default().take_in(write);
                     self.inbox.push((name.clone(), Event::Synced(sequence)));
                 }
                 Effect::Order(order) => {
@@ -574,21 +574,3 @@
 fn founder(name: &Name) -> Voter {
     Voter { replica: format!("{name}#0"), daemon: name.to_string(), weight: 1 }
 }
-
-fn store(disk: &mut Stored, write: Write) {
-    match write {
-        Write::Ballot { term, vote } => {
-            disk.term = term;
-            disk.vote = vote;
-        }
-        Write::Entries(entries) => {
-            let Some(first) = entries.first() else { return };
-            disk.entries.retain(|entry| entry.index < first.index);
-            disk.entries.extend(entries);
-        }
-        Write::Snapshot(snapshot) => {
-            disk.entries.retain(|entry| entry.index > snapshot.index);
-            disk.snapshot = snapshot;
-        }
-    }
-}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,7 +21,7 @@
 use smol::Timer;
 
 use crate::dialect::{Call, Dialect};
-use crate::http::{within, Connection, RequestHead};
+use crate::http::{accept_all, within, Connection, RequestHead};
 use crate::links::{Links, News};
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::writer::Writer;
@@ -146,7 +146,12 @@
     executor.spawn(links.listen(inner)).detach();
     executor.spawn(note_synced(shell.clone(), synced)).detach();
     executor.spawn(tick(shell.clone())).detach();
-    executor.spawn(accept(shell.clone(), control)).detach();
+    let serving = shell.clone();
+    let serve = move |stream| {
+        let shell = serving.clone();
+        async move { shell.serve(stream).await }
+    };
+    executor.spawn(accept_all(control, executor.clone(), serve)).detach();
     if let Some(address) = config.metrics {
         executor.spawn(serve_metrics(shell.meter.clone(), address)).detach();
     }
@@ -175,20 +180,6 @@
     }
 }
 
-async fn accept<Speech>(shell: Rc<Shell<Speech>>, listener: TcpListener)
-where
-    Speech: Dialect,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(TICK).await;
-            continue;
-        };
-        let serving = shell.clone();
-        shell.executor.spawn(async move { serving.serve(stream).await }).detach();
-    }
-}
-
 impl<Speech> Shell<Speech>
 where
     Speech: Dialect,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::answer::{deadline, Answer, Incoming};
 use crate::clock;
 use crate::dialect::Dialect;
-use crate::http::{within, Connection, Error, Headers, RequestHead};
+use crate::http::{accept_all, within, Connection, Error, Headers, RequestHead};
 use crate::journal;
 use crate::links::{Links, News};
 use crate::metrics::{serve as serve_metrics, Meter};
@@ -30,6 +30,8 @@
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(25);
+/// Longest head of the balancer's question.
+const READY_HEAD_MAX: usize = 8 << 10;
 /// Time for a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that a caller waits if it does not say.
@@ -129,8 +131,18 @@
         links.dial(seed);
     }
     executor.spawn(tick(shell.clone())).detach();
-    executor.spawn(accept(shell.clone(), front, executor.clone())).detach();
-    executor.spawn(answer_health(shell.clone(), ready, executor.clone())).detach();
+    let serving = shell.clone();
+    let serve = move |stream| {
+        let shell = serving.clone();
+        async move { shell.serve(stream).await }
+    };
+    executor.spawn(accept_all(front, executor.clone(), serve)).detach();
+    let telling = shell.clone();
+    let tell = move |stream| {
+        let shell = telling.clone();
+        async move { shell.tell_readiness(stream).await }
+    };
+    executor.spawn(accept_all(ready, executor.clone(), tell)).detach();
     if let Some(address) = config.metrics {
         executor.spawn(serve_metrics(shell.meter.clone(), address)).detach();
     }
@@ -154,53 +166,6 @@
     }
 }
 
-async fn accept<Speech>(
-    shell: Rc<Shell<Speech>>,
-    listener: TcpListener,
-    executor: Rc<smol::LocalExecutor<'static>>,
-) where
-    Speech: Dialect,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(TICK).await;
-            continue;
-        };
-        let shell = shell.clone();
-        executor.spawn(async move { shell.serve(stream).await }).detach();
-    }
-}
-
-async fn answer_health<Speech>(
-    shell: Rc<Shell<Speech>>,
-    listener: TcpListener,
-    executor: Rc<smol::LocalExecutor<'static>>,
-) where
-    Speech: Dialect,
-{
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(TICK).await;
-            continue;
-        };
-        let shell = shell.clone();
-        let answer = async move {
-            let mut connection = Connection::open(stream);
-            while let Ok(head) = connection.request_head(8 << 10).await {
-                let status = match shell.state.borrow().is_ready() {
-                    true => "200 OK",
-                    false => "503 Service Unavailable",
-                };
-                let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
-                if connection.write(bytes.as_bytes()).await.is_err() || !head.keep {
-                    return;
-                }
-            }
-        };
-        executor.spawn(answer).detach();
-    }
-}
-
 impl<Speech> Shell<Speech>
 where
     Speech: Dialect,
@@ -280,6 +245,21 @@
         state.document().map(|document| document.limits).unwrap_or_default()
     }
 
+    /// Tells the balancer whether this daemon takes callers.
+    async fn tell_readiness(&self, stream: TcpStream) {
+        let mut connection = Connection::open(stream);
+        while let Ok(head) = connection.request_head(READY_HEAD_MAX).await {
+            let status = match self.state.borrow().is_ready() {
+                true => "200 OK",
+                false => "503 Service Unavailable",
+            };
+            let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            if connection.write(bytes.as_bytes()).await.is_err() || !head.keep {
+                return;
+            }
+        }
+    }
+
     /// Serves the connection of a caller.
     async fn serve(&self, stream: TcpStream) {
         self.connections.set(self.connections.get() + 1);
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -4,19 +4,23 @@
 //! paths, reads whole bodies and hides how an answer is framed. Heads are therefore parsed with
 //! `httparse`, and this module does the framing with bounds of its own. Ambiguous framing is refused.
 
+use std::future::Future;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use smol::net::TcpStream;
-use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
 
 /// Headers of one head.
 const HEADERS_MAX: usize = 100;
 /// Bytes to read at once.
 const READ_BYTES: usize = 16 << 10;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(25);
 /// Longest line that states the length of a chunk.
 const CHUNK_LINE_MAX: usize = 256;
 
@@ -471,10 +475,29 @@
     }
 }
 
+/// Accepts connections for as long as the executor runs, and serves each in a task of its own.
+pub async fn accept_all<Serve, Work>(
+    listener: TcpListener,
+    executor: Rc<LocalExecutor<'static>>,
+    serve: Serve,
+) where
+    Serve: Fn(TcpStream) -> Work,
+    Work: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => executor.spawn(serve(stream)).detach(),
+            Err(_) => {
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Runs a future for at most `span`; none if it takes longer.
 pub async fn within<Output, Work>(span: Duration, work: Work) -> Option<Output>
 where
-    Work: std::future::Future<Output = Output>,
+    Work: Future<Output = Output>,
 {
     let late = async {
         Timer::after(span).await;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -17,7 +17,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
-use crate::http::within;
+use crate::http::{accept_all, within};
 
 type Connection = dotterelhoist_wire::Connection<TcpStream, Frame>;
 
@@ -98,14 +98,8 @@
 
     /// Accepts connections of other daemons.
     pub async fn listen(self, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(PAUSE).await;
-                continue;
-            };
-            let links = self.clone();
-            self.executor.spawn(async move { links.serve(stream).await }).detach();
-        }
+        let executor = self.executor.clone();
+        accept_all(listener, executor, move |stream| self.clone().serve(stream)).await;
     }
 
     async fn keep(self, peer: Name) {
