--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -41,8 +41,6 @@
 const APPEND_BYTES: usize = 1 << 20;
 /// Time between two snapshots sent to the same replica.
 const INSTALL_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a write may wait for the disk before a leader gives up its lead.
-const DISK_PATIENCE: Duration = Duration::from_millis(800);
 /// Silence after which a voter may be replaced by a daemon that has caught up.
 pub const REPLACE_AFTER: Duration = Duration::from_millis(1500);
 
@@ -57,6 +55,10 @@
     pub jitter: Duration,
     /// Time for which an answered heartbeat lets a leader act.
     pub lease: Duration,
+    /// Largest time by which replicas that start together first stand later than one another.
+    pub stagger: Duration,
+    /// Time for which a write may wait for the disk before a leader gives up its lead.
+    pub disk_patience: Duration,
 }
 
 impl Default for Timing {
@@ -66,6 +68,8 @@
             election: Duration::from_millis(1200),
             jitter: Duration::from_millis(800),
             lease: Duration::from_millis(900),
+            stagger: Duration::ZERO,
+            disk_patience: Duration::MAX,
         }
     }
 }
@@ -214,7 +218,7 @@
         outputs: &mut Vec<Output>,
     ) -> Replica {
         let snapshot = stored.snapshot.clone();
-        let stagger = stagger(&identity.replica, timing.jitter);
+        let stagger = stagger(&identity.replica, timing.stagger);
         let log = Log::open(stored.snapshot, stored.entries, founders.clone());
         if snapshot.index > 0 {
             outputs.push(Output::Restore(snapshot.clone()));
@@ -880,10 +884,10 @@
         }
     }
 
-    /// Whether the disk has not finished a write for [`DISK_PATIENCE`]. A leader then gives up its
+    /// Whether the disk has not finished a write for [`Timing::disk_patience`]. A leader then gives up its
     /// lead, because it can commit nothing itself.
     fn is_stalled(&self, now: Instant) -> bool {
-        self.stalled.is_some_and(|(_, since)| now.since(since) > DISK_PATIENCE)
+        self.stalled.is_some_and(|(_, since)| now.since(since) > self.timing.disk_patience)
     }
 
     /// Position of a voter that has not answered for [`REPLACE_AFTER`].
@@ -927,7 +931,7 @@
 
 /// Time by which a replica stands later after its start than another: replicas that start at the same
 /// moment would otherwise stand at the same moment and split the votes.
-fn stagger(replica: &str, jitter: Duration) -> Duration {
-    let span = jitter.as_millis() as u64;
+fn stagger(replica: &str, most: Duration) -> Duration {
+    let span = most.as_millis() as u64;
     Duration::from_millis(xxh3_64(replica.as_bytes()) % span.max(1))
 }
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -48,6 +48,8 @@
     election: Duration::from_millis(800),
     jitter: Duration::from_millis(600),
     lease: Duration::from_millis(560),
+    stagger: Duration::from_millis(600),
+    disk_patience: Duration::from_millis(800),
 };
 
 /// Reads a document from an operator's bytes.
