Drop what the new packages had for nothing

Found on reading the whole change: a flag that noted changes of the view was set in six places and read in none, and cost two copies of each heartbeat to compare; is_alive stood twice; arms of a match and branches of a refusal said the same; an error and a parameter were never used; a limit had no name. Change: they are gone or share one function. Behaviour is the same; no test or bound is touched.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -17,7 +17,7 @@
 use crate::document::{Document, Finding};
 use crate::endpoint::Beat;
 use crate::journal;
-use crate::message::{Beats, Body, Heard, Hello, Replication, Report};
+use crate::message::{Beats, Body, Heard, Hello, Replication};
 use crate::order::{Order, Outcome};
 use crate::Name;
 
@@ -346,51 +346,25 @@
                 for Heard { beat, age_ms } in beats.beats {
                     let Some(beat) = beat else { continue };
                     let heard = now.before(Duration::from_millis(u64::from(age_ms)));
-                    self.hear(beat, heard);
+                    self.endpoints.hear(beat, heard);
                 }
             }
-            Body::Report(report) => self.report(now, &from, report),
+            Body::Report(report) => self.feed.report(now, &from, report),
             Body::Ask(ask) => self.take_ask(now, from, ask, effects),
             Body::Told(told) => self.take_told(told, effects),
             _ => {}
         }
     }
 
-    fn report(&mut self, now: Instant, from: &Name, report: Report) {
-        self.feed.report(now, from, report);
-    }
-
     /// Takes in a heartbeat that was sent to this daemon, and passes it on.
     fn beat(&mut self, now: Instant, beat: Beat) {
         self.gossip.push((beat.clone(), now));
-        self.hear(beat, now);
+        self.endpoints.hear(beat, now);
     }
 
     fn deregistered(&mut self, now: Instant, id: &str) {
         if let Some(beat) = self.endpoints.deregister(id) {
             self.gossip.push((beat, now));
-            self.feed.touch();
-        }
-    }
-
-    fn hear(&mut self, beat: Beat, heard: Instant) {
-        let id: Name = beat.id.as_str().into();
-        let before = self.endpoints.find(&id).map(|known| known.beat.clone());
-        if !self.endpoints.hear(beat, heard) {
-            return;
-        }
-        let after = self.endpoints.find(&id).map(|known| &known.beat);
-        let same = match (&before, after) {
-            (Some(before), Some(after)) => {
-                before.membership == after.membership
-                    && before.draining == after.draining
-                    && before.gone == after.gone
-                    && before.address == after.address
-            }
-            _ => false,
-        };
-        if !same {
-            self.feed.touch();
         }
     }
 
@@ -408,7 +382,6 @@
             known.silent = None;
             known.beat.membership = said.membership;
             known.beat.staged = said.staged;
-            self.feed.touch();
             return;
         }
         let since = self.reach.since(&known.beat.zone);
@@ -417,7 +390,6 @@
             let detail = format!("refused={refused} age_ms={}", now.since(known.heard).as_millis());
             let event = journal::Event::new(211, "endpoint does not answer", &**id, detail);
             effects.push(Effect::Log(event));
-            self.feed.touch();
         }
     }
 
@@ -484,7 +456,6 @@
             if self.machine.version() != version {
                 self.take_document(effects);
             }
-            self.feed.touch();
         }
         self.settle(entry.index, entry.term, effects);
     }
@@ -498,7 +469,6 @@
         };
         self.machine = machine;
         self.take_document(effects);
-        self.feed.touch();
     }
 
     fn take_document(&mut self, effects: &mut Vec<Effect>) {
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -98,7 +98,7 @@
 impl Known {
     /// Whether it has given a sign of life within `span` and was not found silent since.
     pub fn is_alive(&self, now: Instant, span: Duration) -> bool {
-        !self.beat.gone && self.silent.is_none() && now.since(self.heard) < span
+        self.is_alive_since(now, span, Instant::default())
     }
 
     /// Whether it gives signs of life, not counting silence from before `since`.
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -61,7 +61,6 @@
     listeners: BTreeMap<Name, Listener>,
     /// Changes with each change of the view.
     sequence: u64,
-    touched: bool,
     targets: Vec<Target>,
     demand: Demands,
     decayed: Instant,
@@ -82,11 +81,6 @@
         self.listeners.remove(daemon);
     }
 
-    /// Notes that something behind the view has changed.
-    pub(super) fn touch(&mut self) {
-        self.touched = true;
-    }
-
     /// Takes in the report of an entry daemon.
     pub(super) fn report(&mut self, now: Instant, from: &Name, report: Report) {
         self.decay(now);
@@ -240,7 +234,6 @@
 
     fn refresh_view(&mut self, now: Instant) {
         let targets = self.targets(now);
-        self.feed.touched = false;
         if targets != self.feed.targets {
             self.feed.targets = targets;
             self.feed.sequence += 1;
@@ -250,7 +243,7 @@
     /// Endpoints that take requests: open heads of groups that are not being dissolved, and plain
     /// endpoints that are ready.
     fn targets(&self, now: Instant) -> Vec<Target> {
-        let heads: BTreeSet<&str> = self
+        let members: BTreeSet<&str> = self
             .machine
             .groups
             .values()
@@ -273,10 +266,10 @@
         }
         for (id, known) in self.endpoints.iter() {
             let beat = &known.beat;
-            let engine = self.document.services.get(&*beat.service);
-            let plain = engine.is_some_and(|service| service.engine.is_none())
+            let service = self.document.services.get(&*beat.service);
+            let plain = service.is_some_and(|service| service.engine.is_none())
                 && !self.reach.is_lost(&beat.zone, now);
-            if plain && !heads.contains(&**id) && known.is_usable(now, VIEW_TTL) {
+            if plain && !members.contains(&**id) && known.is_usable(now, VIEW_TTL) {
                 targets.push(target(beat, "", ""));
             }
         }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -205,8 +205,8 @@
     }
 
     /// Notes the load that an endpoint has stated: running and waiting requests.
-    pub fn note_load(&mut self, target: &Name, running: u32, waiting: u32, now: Instant) {
-        self.targets.note_load(target, running, waiting, now);
+    pub fn note_load(&mut self, target: &Name, running: u32, waiting: u32) {
+        self.targets.note_load(target, running, waiting);
     }
 
     fn serves(&self) -> bool {
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -29,6 +29,8 @@
 const QUEUE_SHARE: f64 = 0.15;
 /// Requests that may wait for a need in any case.
 const QUEUE_MIN: usize = 8;
+/// Endpoints that are tried for one request at most, those out of reach included.
+const TRIED_MAX: usize = 6;
 /// Least time left for another attempt.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
 
@@ -105,8 +107,6 @@
                 self.send(now, id, target, effects);
             }
             Found::None if again => self.fail(now, id, Reason::Declined, effects),
-            Found::Full if again && !active.begun => self.wait(now, id, effects),
-            Found::Full if again => self.wait(now, id, effects),
             _ => self.wait(now, id, effects),
         }
     }
@@ -282,7 +282,7 @@
         let Some(active) = self.requests.get(&id) else { return false };
         let left = active.deadline.since(now) > LEAST_LEFT;
         let allowed = active.attempts < active.route.attempts;
-        let tries = active.tried.len() < 6;
+        let tries = active.tried.len() < TRIED_MAX;
         left && allowed && tries && (!arrived || self.budget.withdraw(&active.need.0))
     }
 
@@ -322,13 +322,8 @@
     fn fail(&mut self, now: Instant, id: u64, reason: Reason, effects: &mut Vec<Effect>) {
         let Some(active) = self.requests.remove(&id) else { return };
         self.queue.remove(&active.need, id);
-        let reason = if active.may_have_run && reason.status() != 504 {
-            Reason::Lost
-        } else if !active.may_have_run && reason == Reason::TimedOut {
-            Reason::TimedOut
-        } else {
-            reason
-        };
+        let unsure = active.may_have_run && reason != Reason::TimedOut;
+        let reason = if unsure { Reason::Lost } else { reason };
         let retry_after =
             matches!(reason.status(), 429 | 503).then(|| self.come_back(now, &active));
         let name = active.request.name.clone();
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -249,7 +249,7 @@
     }
 
     /// Notes the load that an endpoint has stated.
-    pub fn note_load(&mut self, id: &Name, running: u32, waiting: u32, _now: Instant) {
+    pub fn note_load(&mut self, id: &Name, running: u32, waiting: u32) {
         let Some(target) = self.targets.get_mut(id) else { return };
         let stated = running + waiting;
         target.others = target.others.max(stated.saturating_sub(target.running));
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -226,7 +226,7 @@
         let Some(load) = headers.find(Speech::HEADERS.load) else { return };
         let mut numbers = load.split(',').map(|number| number.trim().parse::<u32>());
         if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
-            state.note_load(target, running, waiting, now);
+            state.note_load(target, running, waiting);
         }
     }
 
@@ -299,7 +299,7 @@
             Error::HeadTooLong => Reason::HeadTooLong,
             Error::BodyTooLong => Reason::BodyTooLong,
             Error::Malformed(_) => Reason::Malformed,
-            Error::Closed | Error::Broken(_) | Error::TimedOut => return,
+            Error::Closed | Error::Broken(_) => return,
         };
         self.meter.count(&format!("refused.{reason}"));
         let mut answer = Answer::open(connection.stream.clone(), false);
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -37,8 +37,6 @@
     HeadTooLong,
     /// the body is too long
     BodyTooLong,
-    /// the time is over
-    TimedOut,
 }
 
 impl std::error::Error for Error {}
