Let a leader whose process ended be elected again as soon as it is back

Cause: after a final fault that ends all processes, voters refused every vote for 0.8 s and first stood after 0.8 to 1.4 s, to protect the lease of the leader they had answered last. Ruled out: a shorter election time (it must stay above the lease); heartbeats of endpoints (all had come by the time of the election). Change: the refusal protects one lease, that of the leader of the term that the voter answered last. A candidate that led this term and asks for votes has given that lease up, so it is not refused. Whether a replica was elected in its term is stored with the ballot; one that was stands at once when it starts, and again with each heartbeat for one election time. Tests: leader_that_returns_is_elected_at_once, both cases failed first. With the refusal dropped altogether the check 'hold a lease at once' fails (replica_follower_parted_from_its_leader_changes_nothing), so the history tests see a wrong rule.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -10,6 +10,9 @@
 //!   [`Timing::election`] after it last heard from a leader or started, which is longer than the
 //!   lease by more than the drift bound. A leader that was frozen has thus lost its lease before any
 //!   other replica can win.
+//! * **Return of a leader**: the refusal protects the lease of the leader that the voter answered last.
+//!   A candidate that led that term itself has given up that lease by asking, so it is not refused. A
+//!   leader whose process ended is thus elected again as soon as it is back ([`Vote::led`]).
 //! * **Weighted votes**: see [`quorum`].
 //! * **Durability before words**: each message that tells of stored state is held back until the
 //!   write it depends on has been synced.
@@ -94,6 +97,8 @@
     pub term: u64,
     /// Replica voted for in that term.
     pub vote: Option<Name>,
+    /// Whether this replica was elected in that term.
+    pub led: bool,
     /// Newest snapshot, empty before the first.
     pub snapshot: Install,
     /// Entries after the snapshot.
@@ -107,14 +112,15 @@
     /// use dotterelhoist_core::replica::{Stored, Write};
     ///
     /// let mut stored = Stored::default();
-    /// stored.take_in(Write::Ballot { term: 3, vote: None });
+    /// stored.take_in(Write::Ballot { term: 3, vote: None, led: false });
     /// assert_eq!(stored.term, 3);
     /// ```
     pub fn take_in(&mut self, write: Write) {
         match write {
-            Write::Ballot { term, vote } => {
+            Write::Ballot { term, vote, led } => {
                 self.term = term;
                 self.vote = vote;
+                self.led = led;
             }
             Write::Entries(entries) => {
                 for entry in entries {
@@ -142,6 +148,8 @@
         term: u64,
         /// Replica voted for in this term.
         vote: Option<Name>,
+        /// Whether this replica was elected in this term.
+        led: bool,
     },
     /// Entries; stored entries from the first one's index on are dropped before.
     Entries(Vec<Entry>),
@@ -202,6 +210,12 @@
     capacity: Option<usize>,
     /// When this replica began to lead.
     led_since: Instant,
+    /// Newest term in which this replica was elected, 0 if it never was.
+    led: u64,
+    /// Newest term whose leader this replica may have answered.
+    answered: u64,
+    /// Until when this replica, which led before it started, asks for votes at once.
+    returns_until: Instant,
     /// Sequence that was synced last, and since when nothing newer was, while writes wait.
     stalled: Option<(u64, Instant)>,
 }
@@ -219,6 +233,7 @@
     ) -> Replica {
         let snapshot = stored.snapshot.clone();
         let stagger = stagger(&identity.replica, timing.stagger);
+        let returns_until = if stored.led { now + timing.election } else { now };
         let log = Log::open(stored.snapshot, stored.entries, founders.clone());
         if snapshot.index > 0 {
             outputs.push(Output::Restore(snapshot.clone()));
@@ -227,6 +242,9 @@
             identity,
             timing,
             term: stored.term,
+            led: if stored.led { stored.term } else { 0 },
+            answered: stored.term,
+            returns_until,
             vote: stored.vote,
             role: Role::Follower,
             leader: None,
@@ -238,7 +256,7 @@
             progress: BTreeMap::new(),
             heard: now,
             heard_leader: None,
-            deadline: now + timing.election + stagger,
+            deadline: if stored.led { now } else { now + timing.election + stagger },
             next_heartbeat: now,
             sequence: 0,
             synced: 0,
@@ -379,7 +397,9 @@
         if now < self.deadline {
             return;
         }
-        self.deadline = now + self.election_timeout(draw);
+        let returns = now < self.returns_until;
+        let again = if returns { self.timing.heartbeat } else { self.election_timeout(draw) };
+        self.deadline = now + again;
         self.leader = None;
         if !self.identity.stands || !self.is_voter() || self.is_stalled(now) {
             return;
@@ -439,6 +459,11 @@
         }
     }
 
+    fn persist_ballot(&mut self, outputs: &mut Vec<Output>) {
+        let led = self.led == self.term;
+        self.persist(Write::Ballot { term: self.term, vote: self.vote.clone(), led }, outputs);
+    }
+
     fn persist(&mut self, write: Write, outputs: &mut Vec<Output>) {
         self.sequence += 1;
         self.log.writing(self.sequence);
@@ -483,6 +508,7 @@
             candidate: Some(self.as_voter()),
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
+            led: self.led,
         };
         for peer in self.peers() {
             let payload = Payload::Vote(vote.clone());
@@ -497,7 +523,7 @@
     fn receive_vote(&mut self, now: Instant, draw: u64, vote: Vote, outputs: &mut Vec<Output>) {
         let Some(candidate) = vote.candidate else { return };
         let leads = self.role == Role::Leader && self.leads(now);
-        let recently = now.since(self.heard) < self.timing.election;
+        let recently = now.since(self.heard) < self.timing.election && vote.led < self.answered;
         let known = self.log.voters().iter().any(|voter| voter.replica == candidate.replica);
         if leads || recently || !known || !self.is_voter() {
             return;
@@ -519,7 +545,7 @@
         if granted && !vote.pre && self.vote.is_none() {
             self.vote = Some(candidate.replica.as_str().into());
             self.deadline = now + self.election_timeout(draw);
-            self.persist(Write::Ballot { term: self.term, vote: self.vote.clone() }, outputs);
+            self.persist_ballot(outputs);
         }
         let reply = VoteReply {
             term: if granted { vote.term } else { self.term },
@@ -578,7 +604,7 @@
         self.term += 1;
         self.vote = Some(self.identity.replica.clone());
         self.votes = vec![self.identity.replica.clone()];
-        self.persist(Write::Ballot { term: self.term, vote: self.vote.clone() }, outputs);
+        self.persist_ballot(outputs);
         self.request_votes(false, outputs);
         self.count_votes(now, outputs);
     }
@@ -588,6 +614,8 @@
         self.leader = Some(self.identity.clone());
         self.heard = now;
         self.led_since = now;
+        self.led = self.term;
+        self.persist_ballot(outputs);
         self.progress.clear();
         for peer in self.peers() {
             let progress = Progress::new(peer.daemon.into(), self.log.last_index() + 1);
@@ -608,7 +636,7 @@
         if term > self.term {
             self.term = term;
             self.vote = None;
-            self.persist(Write::Ballot { term, vote: None }, outputs);
+            self.persist_ballot(outputs);
         }
         self.role = Role::Follower;
         self.leader = leader;
@@ -698,6 +726,7 @@
         self.follow(term, Some(identity), now, draw, outputs);
         self.heard = now;
         self.heard_leader = Some(now);
+        self.answered = term;
         true
     }
 
--- a/crates/core/src/replica/message.rs
+++ b/crates/core/src/replica/message.rs
@@ -63,6 +63,9 @@
     /// Term of the candidate's last entry.
     #[prost(uint64, tag = "5")]
     pub last_term: u64,
+    /// Newest term that the candidate led and has given up, 0 if it never led.
+    #[prost(uint64, tag = "6")]
+    pub led: u64,
 }
 
 /// Answer to a [`Vote`].
--- a/crates/core/tests/replica/main.rs
+++ b/crates/core/tests/replica/main.rs
@@ -240,6 +240,28 @@
     net.check_end();
 }
 
+/// A leader whose process ended leads again as soon as a quorum is back: no voter waits for the lease of
+/// a leader that asks itself.
+#[rstest]
+#[case::one_process(&[0])]
+#[case::all_processes(&[0, 1, 2])]
+fn leader_that_returns_is_elected_at_once(#[case] ended: &[usize]) {
+    let mut net = Net::new(voters(&[1, 1, 1]), 11);
+    let leader = net.run_until_led();
+    net.run(Duration::from_secs(2));
+    assert_eq!(net.leader(), Some(leader), "it leads on");
+    let nodes = ended.iter().map(|at| (leader + at) % 3);
+    for node in nodes.clone() {
+        net.apply(Fault::Kill { node, kept: 100 });
+    }
+    for node in nodes {
+        net.apply(Fault::Restart { node });
+    }
+    net.run(Duration::from_millis(500));
+    assert_eq!(net.leader(), Some(leader));
+    net.check_end();
+}
+
 /// The only voter of a log leads on while its disk is slow: nobody else could record the entry, and an
 /// election would only delay it.
 #[test]
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -28,6 +28,9 @@
     /// Replica voted for in this term.
     #[prost(string, optional, tag = "2")]
     pub vote: Option<String>,
+    /// Whether the replica itself was elected in this term.
+    #[prost(bool, tag = "3")]
+    pub led: bool,
 }
 
 impl Ballot {
@@ -41,9 +44,9 @@
         let mut batch = Batch::default();
         for write in writes {
             match write {
-                Write::Ballot { term, vote } => {
+                Write::Ballot { term, vote, led } => {
                     let vote = vote.as_ref().map(ToString::to_string);
-                    batch.ballot = Some(Ballot { term: *term, vote });
+                    batch.ballot = Some(Ballot { term: *term, vote, led: *led });
                 }
                 Write::Entries(entries) => batch.entries.extend(entries.iter().cloned()),
                 Write::Snapshot(_) => {}
--- a/crates/store/src/tail.rs
+++ b/crates/store/src/tail.rs
@@ -56,7 +56,8 @@
             entries.push(entry.clone());
         }
         let vote = tail.ballot.vote_name();
-        let stored = Stored { term: tail.ballot.term, vote, snapshot, entries };
+        let Ballot { term, led, .. } = tail.ballot;
+        let stored = Stored { term, vote, led, snapshot, entries };
         Ok((tail, stored))
     }
 
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -133,8 +133,9 @@
     let mut stored = Stored::default();
     for write in batches.iter().flatten() {
         match write {
-            Write::Ballot { term, vote } => {
+            Write::Ballot { term, vote, led } => {
                 stored.term = *term;
+                stored.led = *led;
                 stored.vote.clone_from(vote);
             }
             Write::Entries(entries) => {
@@ -163,7 +164,7 @@
                 0 => {
                     term += 1;
                     let vote = Some(format!("replica-{count}").into());
-                    batches.push(vec![Write::Ballot { term, vote }]);
+                    batches.push(vec![Write::Ballot { term, vote, led: count == 1 }]);
                 }
                 1 if last > base => {
                     base = last;
@@ -178,7 +179,7 @@
                         (first..first + count).map(|index| entry(term, index)).collect();
                     last = first + count - 1;
                     last_term = term;
-                    let ballot = Write::Ballot { term, vote: None };
+                    let ballot = Write::Ballot { term, vote: None, led: false };
                     batches.push(vec![ballot, Write::Entries(entries)]);
                 }
             }
@@ -226,7 +227,7 @@
     fn store_damage_is_refused(batches in batches(), at in any::<prop::sample::Index>()) {
         let disk = Fake::new(usize::MAX, 0);
         let (mut store, _) = Store::open(disk.clone()).expect("an empty disk opens");
-        let ballot = |term| vec![Write::Ballot { term, vote: None }];
+        let ballot = |term| vec![Write::Ballot { term, vote: None, led: false }];
         for batch in batches.iter().chain(&[ballot(50), ballot(51)]) {
             store.write(batch).expect("power is on");
         }
