Let spares of a fabric domain hold the models of its own groups

Cause: a free endpoint was told to hold the model of the largest groups. On the grown deployments (domains of 19, groups of 8 and 4, 3 endpoints over in each) a large group was repaired at once, a small one never: its 3 survivors found no endpoint with their model. Ruled out: the first shares of the models (load per group 0.72 against 0.75 by the planner's own figures). Change: endpoints that hold none of their domain's models are shared among its groups by their members, as each member is as likely to be lost; where a domain could form a group of a model that lacks groups but for missing models, these are loaded first; members that may change sides come last. Test: group_that_loses_a_member_takes_a_spare_that_holds_its_model, small case failed first (2 of 3 groups).

--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -139,7 +139,8 @@
     /// Endpoints of groups that are proposed but not yet applied.
     proposed: BTreeMap<Name, Instant>,
     loads: staging::Ceiling,
-    staged: BTreeMap<Name, Instant>,
+    /// Orders to hold a model that were given lately, by endpoint.
+    staged: BTreeMap<Name, staging::Given>,
     /// Fabric domains in which groups were dissolved for a model.
     kept: forming::Kept,
     /// When a group was last dissolved for another.
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -45,7 +45,7 @@
 type Counts = BTreeMap<Name, usize>;
 
 /// What is wanted of the endpoints of a service.
-struct Plan<'a> {
+pub(super) struct Plan<'a> {
     service: &'a Service,
     engine: &'a Engine,
     targets: Counts,
@@ -58,6 +58,29 @@
     groups: Vec<&'b Group>,
 }
 
+impl<'a> Plan<'a> {
+    /// Shares the usable endpoints of a service among its models.
+    pub(super) fn of(
+        field: &Field<'_>,
+        service: &'a Service,
+        engine: &'a Engine,
+        lost: Duration,
+    ) -> Plan<'a> {
+        Plan { service, engine, targets: targets(field, service, engine, lost) }
+    }
+
+    /// Models with fewer groups than they should have, the busiest first.
+    pub(super) fn lacking_models(&self, field: &Field<'_>) -> Vec<&'a Model> {
+        let counts = counts(field, self.service);
+        let of = |counts: &Counts, model: &Model| counts.get(&model.name).copied().unwrap_or(0);
+        let lacks = |model: &&Model| of(&counts, model) < of(&self.targets, model);
+        let mut models: Vec<&Model> = self.engine.models.iter().filter(lacks).collect();
+        let load = |model: &Model| busy(field, self.service, self.engine, model, &counts);
+        models.sort_by(|a, b| load(b).total_cmp(&load(a)));
+        models
+    }
+}
+
 impl Planner {
     /// Proposes groups of free endpoints.
     pub(super) fn form(
@@ -77,8 +100,7 @@
             let Some(engine) = &service.engine else { continue };
             let mut domains = self.free(field, service);
             let mut counts = counts(field, service);
-            let targets = targets(field, service, engine, self.times.lost());
-            let plan = Plan { service, engine, targets };
+            let plan = Plan::of(field, service, engine, self.times.lost());
             self.form_all(field, &plan, &mut domains, &mut counts, true, changes, effects);
             if self.convert(field, &plan, &domains, &counts, changes, effects) {
                 continue;
@@ -204,7 +226,7 @@
     }
 }
 
-fn is_usable(known: &Known, service: &Service, now: Instant, lost: Duration) -> bool {
+pub(super) fn is_usable(known: &Known, service: &Service, now: Instant, lost: Duration) -> bool {
     *known.beat.service == *service.name && known.is_usable(now, lost)
 }
 
@@ -323,7 +345,7 @@
     heads.any(|head| domain_of(field, &head.id).as_ref() == Some(domain))
 }
 
-fn domain_of(field: &Field<'_>, id: &str) -> Option<Name> {
+pub(super) fn domain_of(field: &Field<'_>, id: &str) -> Option<Name> {
     Some(field.endpoints.find(id)?.beat.domain.as_str().into())
 }
 
@@ -427,6 +449,6 @@
     free.drain(..model.size).collect()
 }
 
-fn is_warm(field: &Field<'_>, id: &str, model: &str) -> bool {
+pub(super) fn is_warm(field: &Field<'_>, id: &str, model: &str) -> bool {
     field.endpoints.find(id).is_some_and(|known| known.is_warm(model))
 }
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -3,7 +3,7 @@
 //! A member of a group can serve the group's model again at once. Its VM therefore holds another
 //! model, so that it can change sides without a load.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -13,7 +13,7 @@
 use crate::Name;
 
 use super::super::Effect;
-use super::forming::wanted;
+use super::forming::{domain_of, is_usable, is_warm, wanted, Domains, Plan};
 use super::{Field, Pending, Planner, Purpose};
 
 /// Window in which loads are counted.
@@ -52,11 +52,25 @@
     }
 }
 
+/// An order to hold a model.
+#[derive(Debug)]
+pub(super) struct Given {
+    model: Name,
+    at: Instant,
+}
+
+/// A VM that should hold a model.
+#[derive(Debug)]
+struct Wish {
+    id: Name,
+    model: Name,
+}
+
 impl Planner {
     /// Orders VMs to hold the models that their endpoints may need next.
     pub(super) fn stage(&mut self, field: &mut Field<'_>, effects: &mut Vec<Effect>) {
         let now = field.now;
-        self.staged.retain(|_, at| now.since(*at) < STAGE_AGAIN);
+        self.staged.retain(|_, given| now.since(given.at) < STAGE_AGAIN);
         let forming = |name: &Name| self.tended.get(name).is_some_and(|tended| !tended.opened);
         let mut names = field.machine.groups.keys().map(|name| name.as_str().into());
         let none = field.machine.groups.is_empty();
@@ -66,55 +80,146 @@
         let document = field.document;
         for service in document.services.values() {
             let Some(engine) = &service.engine else { continue };
-            for (id, model) in self.lacking(field, service, engine) {
-                self.stage_one(field, engine, &id, &model, effects);
+            for wish in self.lacking(field, service, engine) {
+                self.stage_one(field, engine, wish, effects);
             }
         }
     }
 
-    /// Endpoints whose VM does not hold the model that they may need next: for a member of a group
-    /// the most wanted other model, for a free endpoint the model of the largest groups.
-    fn lacking(&self, field: &Field<'_>, service: &Service, engine: &Engine) -> Vec<(Name, Name)> {
+    /// Endpoints whose VM does not hold the model that they may need next, the most urgent first.
+    fn lacking(&self, field: &Field<'_>, service: &Service, engine: &Engine) -> Vec<Wish> {
+        let mut domains = self.free(field, service);
+        let mut wishes = self.completing(field, service, engine, &mut domains);
+        wishes.extend(self.spares(field, engine, &domains));
+        wishes.extend(self.changing(field, service, engine));
+        wishes
+    }
+
+    /// Free endpoints that lack a model with which their fabric domain could form another group of a
+    /// model that lacks groups. They are taken out of `domains`.
+    fn completing(
+        &self,
+        field: &Field<'_>,
+        service: &Service,
+        engine: &Engine,
+        domains: &mut Domains,
+    ) -> Vec<Wish> {
+        let mut wishes = Vec::new();
+        let plan = Plan::of(field, service, engine, self.times.lost());
+        if !field.traffic {
+            return wishes;
+        }
+        for model in plan.lacking_models(field) {
+            let nearest = domains
+                .iter()
+                .filter(|(_, free)| free.len() >= model.size)
+                .max_by_key(|(_, free)| self.holding(field, free, model).min(model.size));
+            let Some((domain, _)) = nearest else { continue };
+            let Some(free) = domains.remove(&domain.clone()) else { continue };
+            let missing = model.size.saturating_sub(self.holding(field, &free, model));
+            let without = free.iter().filter(|id| !self.holds(field, id, model));
+            let wish = |id: &Name| Wish { id: id.clone(), model: model.name.clone() };
+            wishes.extend(without.take(missing).map(wish));
+        }
+        wishes
+    }
+
+    /// Free endpoints that hold none of the models of their fabric domain. They are shared among its
+    /// groups in proportion to the members, as each member is as likely to be lost.
+    fn spares(&self, field: &Field<'_>, engine: &Engine, domains: &Domains) -> Vec<Wish> {
+        let mut wishes = Vec::new();
+        let members = members_by_domain(field, engine);
+        for (domain, free) in domains {
+            let mut held: BTreeMap<Name, usize> = BTreeMap::new();
+            for model in &engine.models {
+                held.insert(model.name.clone(), self.holding(field, free, model));
+            }
+            let of_model = |model: &Model| {
+                let key = (domain.clone(), model.name.clone());
+                members.get(&key).copied().unwrap_or(0)
+            };
+            let idle = |id: &&Name| !engine.models.iter().any(|m| self.holds(field, id, m));
+            for id in free.iter().filter(idle) {
+                let need = |model: &Model| {
+                    let spares = held.get(&model.name).copied().unwrap_or(0);
+                    of_model(model) as f64 / (spares + 1) as f64
+                };
+                let order =
+                    |a: &&Model, b: &&Model| need(a).total_cmp(&need(b)).then(a.size.cmp(&b.size));
+                let Some(model) = engine.models.iter().max_by(order) else { continue };
+                *held.entry(model.name.clone()).or_default() += 1;
+                wishes.push(Wish { id: id.clone(), model: model.name.clone() });
+            }
+        }
+        wishes
+    }
+
+    /// Members of groups that do not hold the most wanted other model, to which they may change.
+    fn changing(&self, field: &Field<'_>, service: &Service, engine: &Engine) -> Vec<Wish> {
         let mut models: Vec<&Model> = engine.models.iter().collect();
         models.sort_by(|a, b| {
             let wanted = |model: &Model| wanted(field, service, engine, model);
             b.size.cmp(&a.size).then(wanted(b).total_cmp(&wanted(a)))
         });
-        let mut lacking = Vec::new();
+        let mut wishes = Vec::new();
         for (id, known) in field.endpoints.iter() {
-            let usable = known.is_usable(field.now, self.times.lost());
-            if *known.beat.service != *service.name || !usable {
+            let Some(group) = field.machine.holder(id) else { continue };
+            if !is_usable(known, service, field.now, self.times.lost()) {
                 continue;
             }
-            let own = field.machine.holder(id).map(|group| group.model.as_str());
-            let next = models.iter().find(|model| Some(&*model.name) != own);
+            let next = models.iter().find(|model| *model.name != *group.model);
             let Some(next) = next else { continue };
             if !known.is_warm(&next.name) {
-                lacking.push((id.clone(), next.name.clone()));
+                wishes.push(Wish { id: id.clone(), model: next.name.clone() });
             }
         }
-        lacking
+        wishes
+    }
+
+    /// Whether a VM holds a model, or was ordered to.
+    fn holds(&self, field: &Field<'_>, id: &Name, model: &Model) -> bool {
+        let ordered = self.staged.get(id).is_some_and(|given| given.model == model.name);
+        ordered || is_warm(field, id, &model.name)
+    }
+
+    fn holding(&self, field: &Field<'_>, ids: &[Name], model: &Model) -> usize {
+        ids.iter().filter(|id| self.holds(field, id, model)).count()
     }
 
     fn stage_one(
         &mut self,
         field: &mut Field<'_>,
         engine: &Engine,
-        id: &Name,
-        model: &Name,
+        wish: Wish,
         effects: &mut Vec<Effect>,
     ) {
-        if self.staged.contains_key(id) {
+        let Wish { id, model } = wish;
+        if self.staged.contains_key(&id) {
             return;
         }
         if field.traffic && !self.loads.take(field.now, engine.loads_per_s, RESERVE) {
             return;
         }
-        let Some(known) = field.endpoints.find(id) else { return };
-        self.staged.insert(id.clone(), field.now);
+        let Some(known) = field.endpoints.find(&id) else { return };
+        self.staged.insert(id.clone(), Given { model: model.clone(), at: field.now });
         let address = known.beat.address.as_str().into();
-        let pending = Pending { group: "".into(), endpoint: id.clone(), purpose: Purpose::Stage };
-        let task = Task::Stage { model: model.clone() };
+        let pending = Pending { group: "".into(), endpoint: id, purpose: Purpose::Stage };
+        let task = Task::Stage { model };
         self.send(field.term, pending, address, task, effects);
     }
 }
+
+/// Members of groups by fabric domain and model.
+fn members_by_domain(field: &Field<'_>, engine: &Engine) -> BTreeMap<(Name, Name), usize> {
+    let mut members = BTreeMap::new();
+    for group in field.machine.groups.values().filter(|group| !group.doomed) {
+        let Some(model) = engine.models.iter().find(|model| *model.name == *group.model) else {
+            continue;
+        };
+        let Some(domain) = group.head().and_then(|head| domain_of(field, &head.id)) else {
+            continue;
+        };
+        *members.entry((domain, model.name.clone())).or_default() += group.members.len();
+    }
+    members
+}
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -8,19 +8,23 @@
 
 mod world;
 
-use self::world::{names, World};
+use self::world::{names, Shape, World};
 
 const SECOND: Duration = Duration::from_secs(1);
 
 /// A deployment with a document and open groups.
 fn serving(domains: usize) -> World {
-    let mut world = World::open(domains);
+    serving_shape(Shape { domains, ..Shape::default() })
+}
+
+fn serving_shape(shape: Shape) -> World {
+    let mut world = World::open_shape(shape);
     assert!(world.run_until(SECOND * 5, |world| world.leader().is_some()), "no leader");
     let first = names()[0].clone();
     let ticket = world.put(&first, "1");
     let accepted = |world: &World| world.answers.get(&ticket) == Some(&Answer::Accepted);
     assert!(world.run_until(SECOND * 3, accepted), "the document was not accepted");
-    let wanted = domains * 2;
+    let wanted = shape.domains * 2;
     assert!(world.run_until(SECOND * 30, |world| world.open_groups() >= wanted), "no groups");
     world.run(SECOND * 14);
     world.traffic = true;
@@ -187,6 +191,28 @@
     assert!(world.open_groups() >= before - 1, "{} of {before}", world.open_groups());
 }
 
+/// A domain with endpoints to spare replaces a lost member of either model without waiting for a load.
+#[rstest]
+#[case::small(4)]
+#[case::large(8)]
+fn group_that_loses_a_member_takes_a_spare_that_holds_its_model(#[case] size: usize) {
+    let mut world = serving_shape(Shape { domains: 1, endpoints: 19, large: 8, small: 4 });
+    let before = world.open_groups();
+    let heads = world.heads();
+    let Some(head) = heads.iter().find(|head| world.members(head).len() == size) else {
+        panic!("no group of {size}")
+    };
+    let member = world.members(head)[2].clone();
+    if let Some(engine) = world.engines.get_mut(&member) {
+        engine.dead = true;
+    }
+    let lost = |world: &World| world.open_groups() < before;
+    assert!(world.run_until(SECOND * 6, lost), "the loss is not noticed");
+    let repaired = |world: &World| world.open_groups() == before;
+    assert!(world.run_until(SECOND * 8, repaired), "{} of {before}", world.open_groups());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
 /// A cut may reset connections, so an address that refuses them proves nothing: the head may still
 /// take requests.
 #[test]
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -27,9 +27,30 @@
 pub const LARGE: &str = "large";
 pub const SMALL: &str = "small";
 
+/// Sizes of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Fabric domains.
+    pub domains: usize,
+    /// Endpoints in each domain.
+    pub endpoints: usize,
+    /// Members of a group of the larger model.
+    pub large: usize,
+    /// Members of a group of the smaller model.
+    pub small: usize,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape { domains: 1, endpoints: 8, large: 4, small: 2 }
+    }
+}
+
 /// Reads documents whose body is just a version; `x` is malformed.
 #[derive(Clone, Debug)]
-pub struct Versions;
+pub struct Versions {
+    shape: Shape,
+}
 
 impl Reader for Versions {
     fn read(&self, bytes: &[u8]) -> Result<Document, Vec<Finding>> {
@@ -38,11 +59,11 @@
             let place = "version".to_owned();
             return Err(vec![Finding::Malformed { place, detail: text.into_owned() }]);
         };
-        Document::build(Draft { version, services: vec![service()], ..Draft::default() })
+        Document::build(Draft { version, services: vec![service(self.shape)], ..Draft::default() })
     }
 }
 
-fn service() -> Service {
+fn service(shape: Shape) -> Service {
     let model = |name: &str, size, share, pace| Model {
         name: name.into(),
         size,
@@ -53,7 +74,7 @@
     };
     let engine = EngineModel {
         slots: 26,
-        models: vec![model(LARGE, 4, 0.67, 1.0), model(SMALL, 2, 0.33, 0.6)],
+        models: vec![model(LARGE, shape.large, 0.67, 1.0), model(SMALL, shape.small, 0.33, 0.6)],
         step_ms: 6.0,
         per_sequence_ms: 0.24,
         read_per_s: 46_000.0,
@@ -86,6 +107,7 @@
 }
 
 pub struct World {
+    shape: Shape,
     pub now: Instant,
     pub daemons: BTreeMap<Name, State<Versions>>,
     pub disks: BTreeMap<Name, Stored>,
@@ -113,7 +135,13 @@
 impl World {
     /// Opens three control daemons in front of `domains` fabric domains of eight engines each.
     pub fn open(domains: usize) -> World {
+        World::open_shape(Shape { domains, ..Shape::default() })
+    }
+
+    /// Opens three control daemons in front of a deployment of any shape.
+    pub fn open_shape(shape: Shape) -> World {
         let mut world = World {
+            shape,
             now: Instant::from_millis(3_600_000),
             daemons: BTreeMap::new(),
             disks: BTreeMap::new(),
@@ -132,8 +160,8 @@
             draw: 0x9e37_79b9_7f4a_7c15,
             next: 1,
         };
-        for at in 0..domains * 8 {
-            world.add_engine(at, &format!("d{}", at / 8));
+        for at in 0..shape.domains * shape.endpoints {
+            world.add_engine(at, &format!("d{}", at / shape.endpoints));
         }
         for name in names() {
             world.start(&name, &format!("{name}#0"));
@@ -176,7 +204,8 @@
             Identity { replica: replica.into(), daemon: name.clone(), weight: 1, stands: true };
         let stored = self.disks.entry(name.clone()).or_default().clone();
         let mut effects = Vec::new();
-        let state = State::open(setup, Versions, identity, stored, self.now, &mut effects);
+        let versions = Versions { shape: self.shape };
+        let state = State::open(setup, versions, identity, stored, self.now, &mut effects);
         self.daemons.insert(name.clone(), state);
         self.down.remove(name);
         self.carry_out(name, effects);
