Serve groups as the log knows them right after a start; let a returning leader finish its candidacy

Cause 1: with elections at once, a control daemon knows its groups from the log 0.1 s after a start, but listed only heads whose heartbeat had come again, which takes up to 1.2 s. Cause 2, found by the new test: a returning leader asked anew with each heartbeat also while its votes were under way, so with syncs or messages slower than 80 ms it interrupted itself until the others stood. Ruled out: a marker in the log for opened groups (a head that is not open refuses, and few groups are being formed at such a moment). Change: a head that no control daemon has heard since this one started is listed for one heartbeat and 0.6 s; a candidate keeps its candidacy for one election time. Test: groups_are_served_again_as_soon_as_a_leader_is_back failed first without either change.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -603,6 +603,7 @@
 
     fn stand(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.role = Role::Candidate;
+        self.deadline = self.deadline.max(now + self.timing.election);
         self.term += 1;
         self.vote = Some(self.identity.replica.clone());
         self.votes = vec![self.identity.replica.clone()];
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -190,6 +190,8 @@
     parked: Vec<Parked>,
     gossip: Vec<(Beat, Instant)>,
     gossip_due: Instant,
+    /// When this daemon started.
+    started: Instant,
     log_bytes: usize,
     led: bool,
     outputs: Vec<Output>,
@@ -227,6 +229,7 @@
             parked: Vec::new(),
             gossip: Vec::new(),
             gossip_due: now,
+            started: now,
             log_bytes: 0,
             led: false,
             outputs,
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -10,6 +10,7 @@
 use crate::message::{Body, Bytes, Loads, Report, Status, Target, View};
 use crate::Name;
 
+use super::machine::{Group, Member};
 use super::{Effect, Reader, State};
 
 /// Time between two statuses to an entry daemon.
@@ -22,6 +23,8 @@
 const DEMAND_SPAN: Duration = Duration::from_secs(4);
 /// Time without a sign of life after which a head is left out of the view.
 const VIEW_TTL: Duration = Duration::from_secs(6);
+/// Time beyond a heartbeat's for which a group is served as the log knows it after a start.
+const RECALL_MARGIN: Duration = Duration::from_millis(600);
 /// Time for which a suspicion holds.
 const SUSPECT_TTL: Duration = Duration::from_secs(1);
 
@@ -252,7 +255,10 @@
         let mut targets = Vec::new();
         for group in self.machine.groups.values().filter(|group| !group.doomed) {
             let Some(head) = group.head() else { continue };
-            let Some(known) = self.endpoints.find(&head.id) else { continue };
+            let Some(known) = self.endpoints.find(&head.id) else {
+                targets.extend(self.recall(now, group, head));
+                continue;
+            };
             let progress = self.feed.progress.get(&*head.id);
             let moves = progress.is_some_and(|at| now.since(*at) < REPORT_TTL);
             let open = known.beat.stage_in(&group.name, group.epoch) == Some(Stage::Open);
@@ -277,6 +283,28 @@
     }
 }
 
+impl<Decoder> State<Decoder> {
+    /// Head of a group as the log knows it, for the time after a start in which it may not have sent
+    /// its first heartbeat to any control daemon. A head that is no longer open refuses requests.
+    fn recall(&self, now: Instant, group: &Group, head: &Member) -> Option<Target> {
+        let span = self.setup.times.heartbeat + RECALL_MARGIN;
+        if now.since(self.started) > span {
+            return None;
+        }
+        let service = self.document.services.get(&*group.service)?;
+        let engine = service.engine.as_ref()?;
+        Some(Target {
+            id: head.id.clone(),
+            address: head.address.clone(),
+            service: group.service.clone(),
+            model: group.model.clone(),
+            group: group.name.clone(),
+            zone: String::new(),
+            slots: engine.slots,
+        })
+    }
+}
+
 fn target(beat: &crate::endpoint::Beat, model: &str, group: &str) -> Target {
     Target {
         id: beat.id.clone(),
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Control daemons over failures: documents, groups, leaders.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use dotterelhoist_fleet::control::Answer;
@@ -341,3 +342,26 @@
     world.run(SECOND * 10);
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
+
+/// After a start of all control daemons, entry daemons learn the groups from the log, not only with the
+/// heartbeats that come one by one.
+#[test]
+fn groups_are_served_again_as_soon_as_a_leader_is_back() {
+    let mut world = serving(2);
+    let heads: BTreeSet<Name> = world.heads().into_iter().collect();
+    for name in names() {
+        world.kill(&name);
+    }
+    world.run(SECOND);
+    for name in names() {
+        world.start(&name, &format!("{name}#0"));
+    }
+    world.viewed.clear();
+    for engine in world.engines.values_mut() {
+        engine.cut = true;
+    }
+    let whole = |world: &World| heads.is_subset(&world.viewed);
+    assert!(world.run_until(SECOND, whole), "{:?} of {heads:?}", world.viewed);
+    world.run(SECOND * 3);
+    assert!(world.viewed.is_empty(), "heads that stay silent are left out");
+}
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -125,6 +125,8 @@
     pub suspects: Vec<String>,
     /// Versions of documents that daemons said to be current.
     pub current: Vec<(Name, u64)>,
+    /// Heads of groups in the newest view that an entry daemon was sent.
+    pub viewed: BTreeSet<Name>,
     inbox: Vec<(Name, Event)>,
     late: Vec<(Instant, Order)>,
     ready: BTreeSet<(Name, String, u64)>,
@@ -154,6 +156,7 @@
             zone_cut: false,
             suspects: Vec::new(),
             current: Vec::new(),
+            viewed: BTreeSet::new(),
             inbox: Vec::new(),
             late: Vec::new(),
             ready: BTreeSet::new(),
@@ -338,7 +341,8 @@
             let draw = self.draw >> 33;
             if self.traffic && draw.is_multiple_of(6) {
                 let suspects = self.suspects.clone();
-                let report = Report { traffic: true, suspects, ..Report::default() };
+                let report =
+                    Report { traffic: true, suspects, selected: true, ..Report::default() };
                 let event =
                     Event::Received { from: "entry".into(), body: Body::Report(report), draw };
                 self.apply(&name, event);
@@ -362,6 +366,10 @@
         for effect in effects {
             match effect {
                 Effect::Send(to, body) => {
+                    if let Body::View(view) = &body {
+                        let heads = view.targets.iter().filter(|target| !target.group.is_empty());
+                        self.viewed = heads.map(|target| target.id.as_str().into()).collect();
+                    }
                     if let Body::Status(status) = &body {
                         if status.fresh {
                             self.current.push((name.clone(), status.version));
