Report less often to control daemons that are not selected, the more entry daemons there are

Cause: each of 81 entry daemons reported to all six control daemons every 75 ms: 1,080 reports/s a control daemon, at 0.15 cores. Ruled out: the network (traffic between zones 2.1 GB, priced, but not late). Change: a control daemon that is not selected gets each nth report, n = entry daemons / 16 rounded up, with all work and progress since the last; a new suspicion or a crash goes to all at once. The sums over all reports are formed once a tick instead of once for each entry daemon. Nothing changes up to 16 entry daemons. Tests: report_to_a_control_daemon_that_is_not_selected_is_rarer_in_a_large_deployment, report_of_a_suspicion_is_sent_to_all_at_once.

--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -1,6 +1,6 @@
 //! What a control daemon tells entry daemons, and what they tell it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -169,12 +169,20 @@
         self.refresh_view(now);
         let status = self.status(now);
         let names: Vec<Name> = self.feed.listeners.keys().cloned().collect();
+        let mut totals = None;
         for name in names {
-            self.feed_one(now, &name, &status, effects);
+            self.feed_one(now, &name, &status, &mut totals, effects);
         }
     }
 
-    fn feed_one(&mut self, now: Instant, name: &Name, status: &Status, effects: &mut Vec<Effect>) {
+    fn feed_one(
+        &mut self,
+        now: Instant,
+        name: &Name,
+        status: &Status,
+        totals: &mut Option<Loads>,
+        effects: &mut Vec<Effect>,
+    ) {
         let sequence = self.feed.sequence;
         let Some(listener) = self.feed.listeners.get_mut(name) else { return };
         if now >= listener.status_due {
@@ -191,7 +199,8 @@
         }
         if now >= listener.loads_due {
             listener.loads_due = now + LOADS_INTERVAL;
-            let loads = self.loads(now, name);
+            let totals = totals.get_or_insert_with(|| self.totals(now));
+            let loads = self.loads(now, name, totals);
             effects.push(Effect::Send(name.clone(), Body::Loads(loads)));
         }
     }
@@ -207,34 +216,48 @@
         }
     }
 
-    /// Requests that run at each endpoint of the view, in its order.
-    fn loads(&self, now: Instant, reader: &Name) -> Loads {
+    /// Requests of all entry daemons at each endpoint of the view, in its order.
+    fn totals(&self, now: Instant) -> Loads {
         let count = self.feed.targets.len();
-        let mut loads = Loads {
+        let mut totals = Loads {
             sequence: self.feed.sequence,
             running: vec![0; count],
             own: vec![0; count],
             backlog: vec![0; count],
         };
-        let places: BTreeMap<&str, usize> =
-            self.feed.targets.iter().enumerate().map(|(at, t)| (t.id.as_str(), at)).collect();
-        for (name, listener) in &self.feed.listeners {
-            if now.since(listener.reported) > REPORT_TTL {
-                continue;
-            }
+        let places = self.places();
+        let fresh = |listener: &&Listener| now.since(listener.reported) <= REPORT_TTL;
+        for listener in self.feed.listeners.values().filter(fresh) {
             for running in &listener.report.running {
                 let Some(at) = places.get(running.id.as_str()) else { continue };
-                loads.running[*at] += running.count;
-                if name == reader {
-                    loads.own[*at] = running.count;
-                } else {
-                    loads.backlog[*at] += running.backlog;
-                }
+                totals.running[*at] += running.count;
+                totals.backlog[*at] += running.backlog;
             }
         }
+        totals
+    }
+
+    /// The totals as one entry daemon needs them: with its own part told apart.
+    fn loads(&self, now: Instant, reader: &Name, totals: &Loads) -> Loads {
+        let mut loads = totals.clone();
+        let Some(listener) = self.feed.listeners.get(reader) else { return loads };
+        if now.since(listener.reported) > REPORT_TTL {
+            return loads;
+        }
+        let places = self.places();
+        for running in &listener.report.running {
+            let Some(at) = places.get(running.id.as_str()) else { continue };
+            loads.own[*at] = running.count;
+            loads.backlog[*at] = loads.backlog[*at].saturating_sub(running.backlog);
+        }
         loads
     }
 
+    fn places(&self) -> HashMap<&str, usize> {
+        let targets = self.feed.targets.iter().enumerate();
+        targets.map(|(at, target)| (target.id.as_str(), at)).collect()
+    }
+
     fn refresh_view(&mut self, now: Instant) {
         let targets = self.targets(now);
         if targets != self.feed.targets {
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -14,7 +14,7 @@
 use crate::crash::Doubts;
 use crate::document::{Access, Document, Route, Workspace};
 use crate::journal;
-use crate::message::{Body, Demand, Report, Running, Status};
+use crate::message::{Body, Report, Running, Status};
 use crate::Name;
 
 pub mod budget;
@@ -23,6 +23,7 @@
 pub mod targets;
 
 mod serving;
+mod unsent;
 
 pub use self::request::{Attempt, Decision, End, Reason, Refusal, Request};
 
@@ -30,6 +31,7 @@
 use self::queue::Queue;
 use self::serving::Active;
 use self::targets::Targets;
+use self::unsent::{demand_list, Asked, Unsent};
 
 /// Silence after which a control daemon is no longer a source.
 const SOURCE_TTL: Duration = Duration::from_millis(1200);
@@ -37,6 +39,8 @@
 const STOOD_STILL: Duration = Duration::from_millis(150);
 /// Time between two reports to the control daemons.
 const REPORT_INTERVAL: Duration = Duration::from_millis(75);
+/// Entry daemons for each round of reports in which control daemons that are not selected get none.
+const ENTRIES_PER_ROUND: u32 = 16;
 /// Time after its start at which a daemon serves with a document that no live leader has confirmed.
 const UNCONFIRMED: Duration = Duration::from_secs(6);
 
@@ -120,7 +124,13 @@
     /// Requests that are refused because they crash endpoints.
     crashing: BTreeSet<u64>,
     /// Seconds of a group's time and requests, by service and model.
-    demand: BTreeMap<(Name, Name), (f64, u32)>,
+    demand: Asked,
+    /// What control daemons that are not selected have not been told.
+    unsent: Unsent,
+    /// Rounds of reports so far.
+    round: u32,
+    /// Endpoints that were suspected in the last round.
+    suspected: Vec<String>,
     traffic: bool,
     started: Instant,
     report_due: Instant,
@@ -152,6 +162,9 @@
             crashed: Vec::new(),
             crashing: BTreeSet::new(),
             demand: BTreeMap::new(),
+            unsent: Unsent::default(),
+            round: 0,
+            suspected: Vec::new(),
             traffic: false,
             started: now,
             report_due: now,
@@ -335,35 +348,52 @@
         }
     }
 
+    /// Reports to the selected control daemon, and in each [`State::rounds`]th round, or at once with a
+    /// new suspicion or a crash, to the others.
     fn report(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let demand = std::mem::take(&mut self.demand).into_iter();
+        let demand = std::mem::take(&mut self.demand);
+        let progress = self.targets.take_progress();
+        self.unsent.add(&demand, &progress);
         let report = Report {
             running: self
                 .targets
                 .running()
                 .map(|(id, count, backlog)| Running { id: id.to_string(), count, backlog })
                 .collect(),
-            demand: demand
-                .map(|((service, model), (seconds, requests))| Demand {
-                    service: service.to_string(),
-                    model: model.to_string(),
-                    seconds,
-                    requests,
-                })
-                .collect(),
+            demand: demand_list(&demand),
             suspects: self.targets.suspects(now),
             traffic: self.traffic,
             selected: false,
-            progress: self.targets.take_progress(),
+            progress,
             crashed: std::mem::take(&mut self.crashed),
         };
+        self.round += 1;
+        let new = report.suspects.iter().any(|id| !self.suspected.contains(id));
+        let due = self.round.is_multiple_of(self.rounds());
+        let all = due || new || !report.crashed.is_empty();
+        self.suspected.clone_from(&report.suspects);
         for name in self.sources.keys() {
-            let selected = self.selected.as_ref() == Some(name);
-            let report = Report { selected, ..report.clone() };
-            effects.push(Effect::Send(name.clone(), Body::Report(report)));
+            if self.selected.as_ref() == Some(name) {
+                let report = Report { selected: true, ..report.clone() };
+                effects.push(Effect::Send(name.clone(), Body::Report(report)));
+            } else if all {
+                let report = self.unsent.fill(report.clone());
+                effects.push(Effect::Send(name.clone(), Body::Report(report)));
+            }
+        }
+        if all {
+            self.unsent = Unsent::default();
         }
     }
 
+    /// Rounds of reports after which control daemons that are not selected get one too, so that the
+    /// reports that one control daemon takes in grow slower than the deployment.
+    fn rounds(&self) -> u32 {
+        let statuses = self.sources.values().filter_map(|source| source.status.as_ref());
+        let entries = statuses.map(|status| status.entries).max().unwrap_or(1);
+        entries.div_ceil(ENTRIES_PER_ROUND).max(1)
+    }
+
     /// Finds the route and the workspace of a request.
     fn look_up(&self, request: &Request) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Reason> {
         if self.crashing.contains(&request.fingerprint) {
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -372,9 +372,8 @@
         let model = engine.models.iter().find(|model| model.name == request.model);
         let Some(model) = model else { return };
         let cost = engine.cost(model, f64::from(request.prompt), f64::from(request.answer));
-        let (seconds, requests) =
-            self.demand.entry((service.clone(), model.name.clone())).or_default();
-        *seconds += cost;
-        *requests += 1;
+        let work = self.demand.entry((service.clone(), model.name.clone())).or_default();
+        work.seconds += cost;
+        work.requests += 1;
     }
 }
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! An entry daemon: choice, queue, repeats, refusals.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,11 +13,13 @@
 use dotterelhoist_fleet::entry::{
     Attempt, Decision, Effect, End, Event, Reason, Refusal, Request, Setup, State,
 };
-use dotterelhoist_fleet::message::{Body, Bytes, Status, Target, View};
+use dotterelhoist_fleet::message::{Body, Bytes, Report, Status, Target, View};
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
 const CONTROL: &str = "10.0.0.9";
+/// A control daemon in another zone.
+const OTHER: &str = "10.7.0.9";
 
 #[derive(Clone, Debug)]
 struct Fixed;
@@ -85,6 +88,10 @@
     decisions: BTreeMap<u64, Vec<Decision>>,
     abandoned: Vec<u64>,
     crashed: Vec<u64>,
+    /// Entry daemons of the deployment, as control daemons say.
+    entries: u32,
+    /// Reports to the control daemon that is not selected.
+    others: Vec<Report>,
 }
 
 impl Desk {
@@ -97,8 +104,8 @@
             retry_slack: 40.0,
         };
         let state = State::open(setup, Fixed, 7, now);
-        let (decisions, abandoned, crashed) = Default::default();
-        Desk { now, state, decisions, abandoned, crashed }
+        let (decisions, abandoned, crashed, others) = Default::default();
+        Desk { now, state, decisions, abandoned, crashed, entries: 1, others }
     }
 
     fn open(targets: &[(&str, &str, &str, u32)]) -> Desk {
@@ -119,7 +126,12 @@
                     self.decisions.entry(id).or_default().push(decision);
                 }
                 Effect::Abandon(id) => self.abandoned.push(id),
-                Effect::Send(_, Body::Report(report)) => self.crashed.extend(report.crashed),
+                Effect::Send(to, Body::Report(report)) => {
+                    self.crashed.extend(&report.crashed);
+                    if *to == *OTHER {
+                        self.others.push(report);
+                    }
+                }
                 _ => {}
             }
         }
@@ -132,7 +144,7 @@
     fn status(&mut self, version: u64, crashing: &[u64]) {
         let controls = vec![CONTROL.to_owned()];
         let crashing = crashing.to_vec();
-        let status = Status { fresh: true, version, controls, entries: 1, crashing };
+        let status = Status { fresh: true, version, controls, entries: self.entries, crashing };
         self.hear(Body::Status(status));
     }
 
@@ -484,3 +496,41 @@
     let first = (0..1000).filter(|draw| route.choose(*draw) == Some(&"x".into())).count();
     assert_eq!(first, 900);
 }
+
+/// What one control daemon takes in must not grow with every entry daemon of the deployment: those that
+/// selected another one report more rarely, and then all that they have not told.
+#[rstest]
+#[case::small(6, 25..=26)]
+#[case::large(81, 4..=5)]
+fn report_to_a_control_daemon_that_is_not_selected_is_rarer_in_a_large_deployment(
+    #[case] entries: u32,
+    #[case] expected: RangeInclusive<usize>,
+) {
+    let mut desk = Desk::open(TWO);
+    desk.entries = entries;
+    desk.status(1, &[]);
+    desk.apply(Event::Opened(OTHER.into()));
+    desk.pass(600);
+    desk.others.clear();
+    desk.send(1, "/stream/x");
+    desk.pass(1950);
+    assert!(expected.contains(&desk.others.len()), "{} reports", desk.others.len());
+    let asked: u32 = desk.others.iter().flat_map(|r| &r.demand).map(|d| d.requests).sum();
+    assert_eq!(asked, 1);
+}
+
+/// A suspicion reaches all control daemons at once: any of them may lead.
+#[test]
+fn report_of_a_suspicion_is_sent_to_all_at_once() {
+    let mut desk = Desk::open(TWO);
+    desk.entries = 800;
+    desk.status(1, &[]);
+    desk.apply(Event::Opened(OTHER.into()));
+    desk.send(1, "/stream/x");
+    let target = desk.attempt(1).target;
+    desk.apply(Event::Ended(1, End::Unreachable));
+    desk.others.clear();
+    desk.pass(100);
+    let told = desk.others.iter().any(|report| report.suspects.contains(&target.to_string()));
+    assert!(told, "{:?}", desk.others);
+}
