Keep the lease over slow disks, and the plan over a lease that lapsed for a moment

Followers answered a heartbeat only once all entries before it were on disk, and each regained lease began the plan anew: for one heartbeat's time no group is formed then, so with leads shorter than that none ever was. Ruled out: changes of the leader (term 1 throughout), processor time (0.054 of 0.15 cores). Change: a follower whose ballot is durable answers a heartbeat at once without a word on entries; the plan begins anew only in another term or after a lapse of 1.5 s. Test: leader_keeps_its_lease_while_disks_are_slow failed first.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -207,6 +207,8 @@
     next_heartbeat: Instant,
     sequence: u64,
     synced: u64,
+    /// Sequence of the newest ballot.
+    ballot: u64,
     held: VecDeque<(u64, Name, Payload)>,
     leader_commit: u64,
     capacity: Option<usize>,
@@ -262,6 +264,7 @@
             next_heartbeat: now,
             sequence: 0,
             synced: 0,
+            ballot: 0,
             held: VecDeque::new(),
             leader_commit: u64::MAX,
             capacity: None,
@@ -464,6 +467,7 @@
     fn persist_ballot(&mut self, outputs: &mut Vec<Output>) {
         let led = self.led == self.term;
         self.persist(Write::Ballot { term: self.term, vote: self.vote.clone(), led }, outputs);
+        self.ballot = self.sequence;
     }
 
     fn persist(&mut self, write: Write, outputs: &mut Vec<Output>) {
@@ -773,11 +777,23 @@
         }
         self.commit = self.commit.max(append.commit.min(last));
         reply.accepted = true;
+        self.answer_early(&to, &reply, outputs);
         reply.index = last;
         self.send_durable(to, Payload::AppendReply(reply), outputs);
         self.apply_committed(outputs);
     }
 
+    /// Answers a leader while entries still wait for the disk, so that a slow disk does not cost it its
+    /// lease. This answer says nothing of the entries. The ballot must be durable: a replica that forgot
+    /// the term could vote against the leader that it has answered.
+    fn answer_early(&self, to: &Name, reply: &AppendReply, outputs: &mut Vec<Output>) {
+        if self.synced >= self.sequence || self.synced < self.ballot {
+            return;
+        }
+        let reply = AppendReply { index: 0, ..reply.clone() };
+        outputs.push(Output::Send(to.clone(), Payload::AppendReply(reply)));
+    }
+
     fn receive_append_reply(
         &mut self,
         now: Instant,
--- a/crates/core/tests/replica/main.rs
+++ b/crates/core/tests/replica/main.rs
@@ -240,6 +240,21 @@
     net.check_end();
 }
 
+/// Disks that are slower than the lease delay entries, but not the signs of life of the voters.
+#[test]
+fn leader_keeps_its_lease_while_disks_are_slow() {
+    let mut net = Net::new(voters(&[1, 1, 1]), 5);
+    let leader = net.run_until_led();
+    net.run(Duration::from_secs(2));
+    net.disk_ms = 1000;
+    for _ in 0..120 {
+        net.run(Duration::from_millis(50));
+        assert!(net.leads(leader), "it lost its lease");
+    }
+    net.disk_ms = 0;
+    net.check_end();
+}
+
 /// Found by 20,000 cases: two snapshots in a row were lost, and the follower stood still for 2.1 s.
 #[test]
 fn follower_lost_snapshots_are_sent_again_soon() {
--- a/crates/core/tests/replica/net.rs
+++ b/crates/core/tests/replica/net.rs
@@ -68,6 +68,8 @@
     committed: BTreeMap<u64, Entry>,
     /// Whether nothing is proposed.
     pub quiet: bool,
+    /// Milliseconds for which each write waits for its disk besides the usual few.
+    pub disk_ms: u64,
     acknowledged: Vec<u64>,
     leaders: BTreeMap<u64, usize>,
 }
@@ -89,6 +91,7 @@
             command: 0,
             committed: BTreeMap::new(),
             quiet: false,
+            disk_ms: 0,
             acknowledged: Vec::new(),
             leaders: BTreeMap::new(),
             founders,
@@ -266,7 +269,7 @@
             match output {
                 Output::Persist(sequence, write) => {
                     self.nodes[at].unsynced.push((sequence, write));
-                    let delay = 1 + self.draw() % 15;
+                    let delay = self.disk_ms + 1 + self.draw() % 15;
                     let life = self.nodes[at].life;
                     self.later(delay, Happening::Synced { node: at, life, sequence });
                 }
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -39,6 +39,8 @@
 const COMPACT_ENTRIES: u64 = 400;
 /// Bytes of commands after which the log is replaced by a snapshot.
 const COMPACT_BYTES: usize = 8 << 20;
+/// Time for which a lease may lapse without the plan beginning anew.
+const LAPSE_MOST: Duration = Duration::from_millis(1500);
 /// Time between two batches of heartbeats to the other control daemons.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -194,9 +196,18 @@
     started: Instant,
     log_bytes: usize,
     led: bool,
+    /// Term in which this daemon led last, and when its lease ran out.
+    lead: Lead,
     outputs: Vec<Output>,
 }
 
+/// The last lead of a control daemon.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lead {
+    term: u64,
+    ended: Instant,
+}
+
 impl<Decoder> State<Decoder>
 where
     Decoder: Reader,
@@ -232,6 +243,7 @@
             started: now,
             log_bytes: 0,
             led: false,
+            lead: Lead::default(),
             outputs,
             setup,
         };
@@ -302,7 +314,7 @@
             let event = if leads { "leader elected" } else { "lead lost" };
             let detail = format!("term={}", self.replica.term());
             effects.push(Effect::Log(journal::Event::new(201, event, &*self.setup.daemon, detail)));
-            self.planner.reset(now);
+            self.turn(now);
         }
         if leads {
             let machine = &self.machine;
@@ -359,6 +371,21 @@
         }
     }
 
+    /// Notes that this daemon begins or ceases to lead. The plan begins anew, unless the lease of the same
+    /// term has only lapsed for a moment: then nobody else can have led.
+    fn turn(&mut self, now: Instant) {
+        let term = self.replica.term();
+        if !self.led {
+            self.lead.ended = now;
+            return;
+        }
+        let lapsed = self.lead.term == term && now.since(self.lead.ended) < LAPSE_MOST;
+        self.lead.term = term;
+        if !lapsed {
+            self.planner.reset(now);
+        }
+    }
+
     /// Takes in a heartbeat that was sent to this daemon, and passes it on.
     fn beat(&mut self, now: Instant, beat: Beat) {
         self.gossip.push((beat.clone(), now));
