Send a document once to each entry daemon of a large deployment, not once from each control daemon

Change: with more than 16 entry daemons, those that selected another control daemon are sent a document after 1 s, if their report does not say that they hold it. Up to 16, nothing changes. Test: document_is_sent_late_to_entry_daemons_that_selected_another_control_daemon.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -282,7 +282,7 @@
         }
         self.carry_out(effects);
         if self.replica.fresh(now) {
-            self.feed_documents(effects);
+            self.feed_documents(now, effects);
         }
     }
 
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -17,6 +17,10 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two lists of loads to an entry daemon.
 const LOADS_INTERVAL: Duration = Duration::from_millis(75);
+/// Entry daemons up to which each control daemon sends them the document.
+const SMALL: usize = 16;
+/// Time after which an entry daemon is sent the document by a control daemon that it did not select.
+const DOCUMENT_LAG: Duration = Duration::from_millis(1000);
 /// Age beyond which the report of an entry daemon says nothing any more.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 /// Time constant of the mean demand.
@@ -71,6 +75,14 @@
     suspects: BTreeMap<Name, Instant>,
     traffic: bool,
     crashes: Crashes,
+    document: Held,
+}
+
+/// The document that this daemon holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    version: u64,
+    since: Instant,
 }
 
 impl Feed {
@@ -104,6 +116,7 @@
             self.crashes.add(*fingerprint, now);
         }
         self.traffic |= report.traffic;
+        listener.version = listener.version.max(report.version);
         listener.reported = now;
         listener.report = report;
     }
@@ -149,11 +162,18 @@
 where
     Decoder: Reader,
 {
-    /// Sends the document to each entry daemon that has an older one.
-    pub(super) fn feed_documents(&mut self, effects: &mut Vec<Effect>) {
+    /// Sends the document to each entry daemon that has an older one. In a large deployment, those that
+    /// selected another control daemon get it only if they still lack it after a while.
+    pub(super) fn feed_documents(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let Some(put) = &self.machine.document else { return };
+        if self.feed.document.version != put.version {
+            self.feed.document = Held { version: put.version, since: now };
+        }
+        let small = self.feed.listeners.len() <= SMALL;
+        let late = now.since(self.feed.document.since) >= DOCUMENT_LAG;
         for (daemon, listener) in &mut self.feed.listeners {
-            if listener.version >= put.version {
+            let turn = small || late || listener.report.selected;
+            if listener.version >= put.version || !turn {
                 continue;
             }
             listener.version = put.version;
@@ -165,7 +185,7 @@
     /// Sends entry daemons what is due.
     pub(super) fn feed_entries(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.feed.decay(now);
-        self.feed_documents(effects);
+        self.feed_documents(now, effects);
         self.refresh_view(now);
         let status = self.status(now);
         let names: Vec<Name> = self.feed.listeners.keys().cloned().collect();
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -366,6 +366,7 @@
             selected: false,
             progress,
             crashed: std::mem::take(&mut self.crashed),
+            version: self.document.as_ref().map_or(0, |document| document.version),
         };
         self.round += 1;
         let new = report.suspects.iter().any(|id| !self.suspected.contains(id));
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -189,6 +189,9 @@
     /// Hashes of requests whose endpoints have ended since the last report.
     #[prost(fixed64, repeated, tag = "7")]
     pub crashed: Vec<u64>,
+    /// Version of the document in force at the sender, 0 if it has none.
+    #[prost(uint64, tag = "8")]
+    pub version: u64,
 }
 
 /// A call of an operator on its way to the leader.
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -365,3 +365,26 @@
     world.run(SECOND * 3);
     assert!(world.viewed.is_empty(), "heads that stay silent are left out");
 }
+
+/// In a large deployment a document goes to each entry daemon once, not once from each control daemon.
+#[test]
+fn document_is_sent_late_to_entry_daemons_that_selected_another_control_daemon() {
+    let mut world = serving(1);
+    let control = names()[0].clone();
+    for number in 0..40 {
+        world.connect(&control, &format!("x{number}"), 1);
+    }
+    world.run(SECOND);
+    world.documents.clear();
+    let ticket = world.put(&control, "2");
+    let accepted = |world: &World| world.answers.get(&ticket) == Some(&Answer::Accepted);
+    assert!(world.run_until(SECOND * 3, accepted), "not accepted");
+    world.run(SECOND / 2);
+    let sent = |world: &World, entry: &str| world.documents.iter().any(|to| **to == *entry);
+    assert!(sent(&world, "entry"), "it selected this control daemon");
+    assert!(!sent(&world, "x1") && !sent(&world, "x2"), "{:?}", world.documents);
+    world.connect(&control, "x1", 2);
+    world.run(SECOND);
+    assert!(sent(&world, "x2"), "it still lacks the document");
+    assert!(!sent(&world, "x1"), "it has the document from elsewhere");
+}
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -127,6 +127,8 @@
     pub current: Vec<(Name, u64)>,
     /// Heads of groups in the newest view that an entry daemon was sent.
     pub viewed: BTreeSet<Name>,
+    /// Entry daemons that were sent a document.
+    pub documents: Vec<Name>,
     inbox: Vec<(Name, Event)>,
     late: Vec<(Instant, Order)>,
     ready: BTreeSet<(Name, String, u64)>,
@@ -157,6 +159,7 @@
             suspects: Vec::new(),
             current: Vec::new(),
             viewed: BTreeSet::new(),
+            documents: Vec::new(),
             inbox: Vec::new(),
             late: Vec::new(),
             ready: BTreeSet::new(),
@@ -218,6 +221,14 @@
         self.inbox.push((name.clone(), Event::Opened(hello)));
     }
 
+    /// Lets an entry daemon connect to a control daemon, and report the version that it holds.
+    pub fn connect(&mut self, control: &Name, entry: &str, version: u64) {
+        let hello = Hello { daemon: entry.to_owned(), zone: "z".into(), control: false };
+        self.apply(control, Event::Opened(hello));
+        let body = Body::Report(Report { version, ..Report::default() });
+        self.apply(control, Event::Received { from: entry.into(), body, draw: 1 });
+    }
+
     /// Kills a control daemon; its disk stays as it was last synced.
     pub fn kill(&mut self, name: &Name) {
         self.daemons.remove(name);
@@ -366,6 +377,9 @@
         for effect in effects {
             match effect {
                 Effect::Send(to, body) => {
+                    if let Body::Document(_) = &body {
+                        self.documents.push(to.clone());
+                    }
                     if let Body::View(view) = &body {
                         let heads = view.targets.iter().filter(|target| !target.group.is_empty());
                         self.viewed = heads.map(|target| target.id.as_str().into()).collect();
