--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -388,3 +388,29 @@
     assert!(sent(&world, "x2"), "it still lacks the document");
     assert!(!sent(&world, "x1"), "it has the document from elsewhere");
 }
+
+/// A lease that lapses again and again in one term does not keep the leader from replacing a lost member.
+#[test]
+fn group_is_formed_anew_while_the_lease_lapses_again_and_again() {
+    let mut world = serving_shape(Shape { domains: 1, endpoints: 19, large: 8, small: 4 });
+    let before = world.open_groups();
+    let leader = world.leader();
+    let head = world.heads()[0].clone();
+    let member = world.members(&head)[1].clone();
+    if let Some(engine) = world.engines.get_mut(&member) {
+        engine.dead = true;
+    }
+    let mut lapses = 0;
+    for _ in 0..20 {
+        world.parted = true;
+        world.run(Duration::from_millis(625));
+        lapses += usize::from(world.leader().is_none());
+        world.parted = false;
+        world.run(Duration::from_millis(400));
+        assert_eq!(world.leader(), leader, "another daemon leads");
+    }
+    assert!(lapses > 10, "the lease lapsed {lapses} times");
+    assert_eq!(world.open_groups(), before);
+    assert!(!world.heads().iter().any(|head| world.members(head).contains(&member)));
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -127,6 +127,8 @@
     pub current: Vec<(Name, u64)>,
     /// Heads of groups in the newest view that an entry daemon was sent.
     pub viewed: BTreeSet<Name>,
+    /// Whether what control daemons send each other is lost.
+    pub parted: bool,
     /// Entry daemons that were sent a document.
     pub documents: Vec<Name>,
     inbox: Vec<(Name, Event)>,
@@ -159,6 +161,7 @@
             suspects: Vec::new(),
             current: Vec::new(),
             viewed: BTreeSet::new(),
+            parted: false,
             documents: Vec::new(),
             inbox: Vec::new(),
             late: Vec::new(),
@@ -377,6 +380,9 @@
         for effect in effects {
             match effect {
                 Effect::Send(to, body) => {
+                    if self.parted && names().contains(&to) {
+                        continue;
+                    }
                     if let Body::Document(_) = &body {
                         self.documents.push(to.clone());
                     }
