Name what newcomers stumbled over: a lead that is noted, entry daemons that are fed directly, lines that were not acknowledged

No behaviour changes but for the text of log event 105, which claimed more than is known (a line without an acknowledgement may be recorded).

--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -47,7 +47,7 @@
     },
     /// all requests have ended; stopping
     Stopped,
-    /// usage line of request {request} is not recorded: workspace {workspace}, service {service}, {tokens} tokens, told {told}
+    /// usage line of request {request} was not acknowledged: workspace {workspace}, service {service}, {tokens} tokens, told {told}
     Unrecorded {
         /// Request id.
         request: Name,
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -314,7 +314,7 @@
             let event = if leads { "leader elected" } else { "lead lost" };
             let detail = format!("term={}", self.replica.term());
             effects.push(Effect::Log(journal::Event::new(201, event, &*self.setup.daemon, detail)));
-            self.turn(now);
+            self.note_lead(now);
         }
         if leads {
             let machine = &self.machine;
@@ -373,7 +373,7 @@
 
     /// Notes that this daemon begins or ceases to lead. The plan begins anew, unless the lease of the same
     /// term has only lapsed for a moment: then nobody else can have led.
-    fn turn(&mut self, now: Instant) {
+    fn note_lead(&mut self, now: Instant) {
         let term = self.replica.term();
         if !self.led {
             self.lead.ended = now;
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -18,7 +18,7 @@
 /// Time between two lists of loads to an entry daemon.
 const LOADS_INTERVAL: Duration = Duration::from_millis(75);
 /// Entry daemons up to which each control daemon sends them the document.
-const SMALL: usize = 16;
+const DIRECT_ENTRIES: usize = 16;
 /// Time after which an entry daemon is sent the document by a control daemon that it did not select.
 const DOCUMENT_LAG: Duration = Duration::from_millis(1000);
 /// Age beyond which the report of an entry daemon says nothing any more.
@@ -169,11 +169,11 @@
         if self.feed.document.version != put.version {
             self.feed.document = Held { version: put.version, since: now };
         }
-        let small = self.feed.listeners.len() <= SMALL;
+        let small = self.feed.listeners.len() <= DIRECT_ENTRIES;
         let late = now.since(self.feed.document.since) >= DOCUMENT_LAG;
         for (daemon, listener) in &mut self.feed.listeners {
-            let turn = small || late || listener.report.selected;
-            if listener.version >= put.version || !turn {
+            let due = small || late || listener.report.selected;
+            if listener.version >= put.version || !due {
                 continue;
             }
             listener.version = put.version;
