Read once more: one place for what stood twice or was computed again

The usage lines under way are one field instead of a ticket used as a flag and a copy beside it; the version that an entry daemon holds is read in one function instead of three places; the positions of endpoints are built when the view changes instead of for each entry daemon each 75 ms; without traffic the shares of models are not computed for spares. Behaviour is the same; tests keep their assertions. Left as found: the pairs of fields and messages that are alike in shape only (endpoint.rs, command.rs, message.rs), the two writers of logs (other answers to disk errors), what both shells spawn at start (other state, other listeners).

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -128,9 +128,8 @@
     suspects: BTreeSet<u64>,
     trial_deaths: BTreeMap<Name, Instant>,
     lines: Vec<Line>,
-    /// Usage lines of the proposal in `billing`.
-    sent_lines: Vec<Line>,
-    billing: Option<u64>,
+    /// Usage lines that are proposed and not yet recorded.
+    billing: Vec<Line>,
     batch: u64,
     summaries: BTreeMap<Name, Summary>,
     tally: Tally,
@@ -182,8 +181,7 @@
             suspects: BTreeSet::new(),
             trial_deaths: BTreeMap::new(),
             lines: Vec::new(),
-            sent_lines: Vec::new(),
-            billing: None,
+            billing: Vec::new(),
             batch: 0,
             summaries: BTreeMap::new(),
             tally: Tally::default(),
--- a/crates/core/src/state/serving/billing.rs
+++ b/crates/core/src/state/serving/billing.rs
@@ -16,7 +16,7 @@
 impl State {
     /// Proposes the next batch of usage lines once the last one is recorded.
     pub(super) fn send_bill(&mut self, now: Instant, effects: &mut Effects) {
-        if self.lines.is_empty() || self.billing.is_some() || now < self.due.bill {
+        if self.lines.is_empty() || !self.billing.is_empty() || now < self.due.bill {
             return;
         }
         self.due.bill = now + BILL_INTERVAL;
@@ -28,32 +28,31 @@
         let count = self.lines.len().min(BILL_LINES);
         let lines: Vec<Line> = self.lines.drain(..count).collect();
         self.batch += 1;
-        self.sent_lines = lines.clone();
+        self.billing = lines.clone();
         let bill = CommandBody::Bill(Bill {
             daemon: format!("{daemon}.{:x}", self.setup.incarnation),
             batch: self.batch,
             lines,
         });
         let ticket = self.propose(now, log, bill, Purpose::Bill, BILL_PATIENCE, effects);
-        if self.pending.contains_key(&ticket) {
-            self.billing = Some(ticket);
+        if !self.pending.contains_key(&ticket) {
+            self.billing.clear();
         }
     }
 
     pub(in crate::state) fn billed(&mut self) {
-        self.billing = None;
-        self.sent_lines.clear();
+        self.billing.clear();
     }
 
     /// Whether all usage lines are recorded.
     pub(in crate::state) fn is_billed(&self) -> bool {
-        self.lines.is_empty() && self.billing.is_none()
+        self.lines.is_empty() && self.billing.is_empty()
     }
 
     /// Writes the usage lines that no log has acknowledged to the journal, so that an invoice can
     /// still be checked against them.
     pub(in crate::state) fn give_up_lines(&mut self, effects: &mut Effects) {
-        let mut lines = std::mem::take(&mut self.sent_lines);
+        let mut lines = std::mem::take(&mut self.billing);
         lines.append(&mut self.lines);
         for line in lines {
             self.count(Counter::Unrecorded, effects);
--- a/crates/fleet/src/control/feeding.rs
+++ b/crates/fleet/src/control/feeding.rs
@@ -69,6 +69,8 @@
     /// Changes with each change of the view.
     sequence: u64,
     targets: Vec<Target>,
+    /// Position of each endpoint in `targets`.
+    places: HashMap<String, usize>,
     demand: Demands,
     decayed: Instant,
     progress: BTreeMap<Name, Instant>,
@@ -245,11 +247,10 @@
             own: vec![0; count],
             backlog: vec![0; count],
         };
-        let places = self.places();
         let fresh = |listener: &&Listener| now.since(listener.reported) <= REPORT_TTL;
         for listener in self.feed.listeners.values().filter(fresh) {
             for running in &listener.report.running {
-                let Some(at) = places.get(running.id.as_str()) else { continue };
+                let Some(at) = self.feed.places.get(&running.id) else { continue };
                 totals.running[*at] += running.count;
                 totals.backlog[*at] += running.backlog;
             }
@@ -264,23 +265,19 @@
         if now.since(listener.reported) > REPORT_TTL {
             return loads;
         }
-        let places = self.places();
         for running in &listener.report.running {
-            let Some(at) = places.get(running.id.as_str()) else { continue };
+            let Some(at) = self.feed.places.get(&running.id) else { continue };
             loads.own[*at] = running.count;
             loads.backlog[*at] = loads.backlog[*at].saturating_sub(running.backlog);
         }
         loads
     }
 
-    fn places(&self) -> HashMap<&str, usize> {
-        let targets = self.feed.targets.iter().enumerate();
-        targets.map(|(at, target)| (target.id.as_str(), at)).collect()
-    }
-
     fn refresh_view(&mut self, now: Instant) {
         let targets = self.targets(now);
         if targets != self.feed.targets {
+            let ids = targets.iter().map(|target| target.id.clone());
+            self.feed.places = ids.zip(0..).collect();
             self.feed.targets = targets;
             self.feed.sequence += 1;
         }
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -104,18 +104,18 @@
         engine: &Engine,
         domains: &mut Domains,
     ) -> Vec<Wish> {
-        let mut wishes = Vec::new();
-        let plan = Plan::of(field, service, engine, self.times.lost());
         if !field.traffic {
-            return wishes;
+            return Vec::new();
         }
+        let mut wishes = Vec::new();
+        let plan = Plan::of(field, service, engine, self.times.lost());
         for model in plan.lacking_models(field) {
             let nearest = domains
                 .iter()
                 .filter(|(_, free)| free.len() >= model.size)
                 .max_by_key(|(_, free)| self.holding(field, free, model).min(model.size));
-            let Some((domain, _)) = nearest else { continue };
-            let Some(free) = domains.remove(&domain.clone()) else { continue };
+            let Some(domain) = nearest.map(|(domain, _)| domain.clone()) else { continue };
+            let Some(free) = domains.remove(&domain) else { continue };
             let missing = model.size.saturating_sub(self.holding(field, &free, model));
             let without = free.iter().filter(|id| !self.holds(field, id, model));
             let wish = |id: &Name| Wish { id: id.clone(), model: model.name.clone() };
@@ -130,10 +130,8 @@
         let mut wishes = Vec::new();
         let members = members_by_domain(field, engine);
         for (domain, free) in domains {
-            let mut held: BTreeMap<Name, usize> = BTreeMap::new();
-            for model in &engine.models {
-                held.insert(model.name.clone(), self.holding(field, free, model));
-            }
+            let holding = |model: &Model| (model.name.clone(), self.holding(field, free, model));
+            let mut held: BTreeMap<Name, usize> = engine.models.iter().map(holding).collect();
             let of_model = |model: &Model| {
                 let key = (domain.clone(), model.name.clone());
                 members.get(&key).copied().unwrap_or(0)
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -226,6 +226,11 @@
         self.document.is_some() && self.confirmed
     }
 
+    /// Version of the document held, 0 if there is none.
+    fn version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+
     fn next_draw(&mut self) -> u64 {
         self.draw ^= self.draw << 13;
         self.draw ^= self.draw >> 7;
@@ -256,7 +261,7 @@
         for control in &status.controls {
             effects.push(Effect::Dial(control.as_str().into()));
         }
-        let version = self.document.as_ref().map_or(0, |document| document.version);
+        let version = self.version();
         if status.fresh && version > 0 && version >= status.version && !self.confirmed {
             self.confirmed = true;
             let detail = format!("version={version} source={from}");
@@ -282,7 +287,7 @@
                 return;
             }
         };
-        let version = self.document.as_ref().map_or(0, |document| document.version);
+        let version = self.version();
         if document.version <= version {
             return;
         }
@@ -366,7 +371,7 @@
             selected: false,
             progress,
             crashed: std::mem::take(&mut self.crashed),
-            version: self.document.as_ref().map_or(0, |document| document.version),
+            version: self.version(),
         };
         self.round += 1;
         let new = report.suspects.iter().any(|id| !self.suspected.contains(id));
