Keep a model in the memory of free endpoints: standby groups

Cause: a lost member was replaced by a spare that had to load the model from its VM (1.1 to 1.6 s) or, if both spares of a domain held the other model, from the weight store (12 to 16 s). Change: each free endpoint joins a group of its own that is never opened, and so has a model in memory; its VM then stages the other model. The spares of a domain are shared among its models, ties go to the model with fewer spares. The epoch of such a group is the last applied index, so an order carried out late can't take an endpoint out of a later group.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -350,6 +350,7 @@
             let mut inputs = planner::Inputs {
                 now,
                 term,
+                applied: self.replica.applied(),
                 document: &self.document,
                 state_machine,
                 endpoints: &mut self.endpoints,
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -8,12 +8,16 @@
 
 use dotterelhoist_core::clock::Instant;
 
-use crate::endpoint::Heartbeat;
+use crate::endpoint::{Heartbeat, Stage};
 use crate::Name;
 
 /// Time since an endpoint was last seen after which it is removed from the table.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Prefix of the name of a standby group, before the name of its model. A standby group has one
+/// member, which only keeps the model in memory.
+pub(super) const STANDBY_PREFIX: &str = "standby-";
+
 /// What this daemon knows about an endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -120,10 +124,19 @@
         !self.heartbeat.gone && !unreachable && now.since(self.last_seen.max(since)) < timeout
     }
 
+    /// Model that it has in memory, so that it can serve it again soonest: that of the standby group
+    /// in which it is ready, or else that of the last group in which it was seen ready.
+    pub fn model_in_memory(&self) -> Option<&str> {
+        let membership = self.heartbeat.membership.as_ref();
+        let ready = membership.filter(|membership| membership.stage() == Stage::Ready);
+        let standby = ready.and_then(|membership| membership.group.strip_prefix(STANDBY_PREFIX));
+        standby.or(self.last_served.as_deref())
+    }
+
     /// Whether it is warm for a model: it can serve the model without loading the weights from the
     /// weight store.
     pub fn is_warm(&self, model: &str) -> bool {
-        self.last_served.as_deref() == Some(model)
+        self.model_in_memory() == Some(model)
             || self.heartbeat.staged.iter().any(|staged| staged == model)
     }
 
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -12,7 +12,8 @@
 //!   instead: without them the head makes no progress and reports itself broken within the stall
 //!   timeout, after which the members are free.
 //! * VMs of free endpoints, and of members of groups, are ordered to copy the weights of models
-//!   that their endpoints may need next ([`staging`]).
+//!   that their endpoints may need next ([`staging`]). Free endpoints are ordered to load a model
+//!   into memory ([`standby`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -34,6 +35,7 @@
 mod dissolving;
 pub mod forming;
 pub mod staging;
+mod standby;
 
 /// Time after which an order to an endpoint or a proposed change is repeated if it has had no
 /// effect.
@@ -81,6 +83,8 @@
     pub now: Instant,
     /// Term of the leader, used as the fencing number of its orders.
     pub term: u64,
+    /// Index of the last log entry that is applied to the replicated state.
+    pub applied: u64,
     /// Document in force.
     pub document: &'a Document,
     /// Replicated state.
@@ -107,12 +111,14 @@
     Close,
     Leave,
     Stage,
+    Standby,
 }
 
 /// An order whose outcome is not yet known.
 #[derive(Clone, Debug)]
 struct PendingOrder {
-    /// Group that it concerns; empty for [`Purpose::Stage`].
+    /// Group that it concerns; empty for [`Purpose::Stage`], not in the log for
+    /// [`Purpose::Standby`].
     group: Name,
     endpoint: Name,
     purpose: Purpose,
@@ -162,6 +168,8 @@
     load_limiter: staging::LoadLimiter,
     /// Recent orders to copy the weights of a model to a VM, by endpoint.
     staging_orders: BTreeMap<Name, staging::StagingOrder>,
+    /// Recent orders to join a standby group.
+    standby_orders: standby::StandbyOrders,
     /// Fabric domains whose free endpoints are reserved for one model after a conversion.
     reserved_domains: forming::ReservedDomains,
     /// When groups were last dissolved for another model.
@@ -183,6 +191,7 @@
             proposed_members: BTreeMap::new(),
             load_limiter: staging::LoadLimiter::default(),
             staging_orders: BTreeMap::new(),
+            standby_orders: BTreeMap::new(),
             reserved_domains: BTreeMap::new(),
             last_conversion: None,
             endpoint_count: None,
@@ -218,6 +227,7 @@
             }
         }
         self.form_groups(inputs, changes, effects);
+        self.load_spares(inputs, effects);
         self.stage_models(inputs, effects);
     }
 
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -538,12 +538,20 @@
     ids.iter().filter(|id| is_warm(inputs, id, model)).count()
 }
 
-/// Removes the members of a new group from the free endpoints, warm ones first.
+/// Removes the members of a new group from the free endpoints: those that have the model in memory
+/// first, then other warm ones.
 fn take_members(inputs: &Inputs<'_>, free: &mut Vec<Name>, model: &Model) -> Vec<Name> {
-    free.sort_by_key(|id| (!is_warm(inputs, id, &model.name), id.clone()));
+    free.sort_by_key(|id| {
+        (!is_in_memory(inputs, id, &model.name), !is_warm(inputs, id, &model.name), id.clone())
+    });
     free.drain(..model.size).collect()
 }
 
+/// Whether an endpoint has a model in memory; false if the endpoint is unknown.
+fn is_in_memory(inputs: &Inputs<'_>, id: &str, model: &str) -> bool {
+    inputs.endpoints.find(id).is_some_and(|endpoint| endpoint.model_in_memory() == Some(model))
+}
+
 /// Whether an endpoint is warm for a model; false if the endpoint is unknown.
 pub(super) fn is_warm(inputs: &Inputs<'_>, id: &str, model: &str) -> bool {
     inputs.endpoints.find(id).is_some_and(|endpoint| endpoint.is_warm(model))
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -5,7 +5,7 @@
 //! weights from the weight store. Its VM is therefore ordered to stage another model, so that the
 //! endpoint can join a group of either model quickly.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -15,7 +15,7 @@
 use crate::Name;
 
 use super::super::Effect;
-use super::forming::{demand_weight, domain_of, is_usable, is_warm, Allocation, FreeEndpoints};
+use super::forming::{demand_weight, is_usable, is_warm, Allocation, FreeEndpoints};
 use super::{Inputs, PendingOrder, Planner, Purpose};
 
 /// Length of the sliding window in which loads are counted. A new leader starts no load for half of
@@ -150,9 +150,8 @@
         needs
     }
 
-    /// Free endpoints whose VM holds no model; they become spares for lost members. They are
-    /// assigned to the models in proportion to the number of group members in the domain, as each
-    /// member is equally likely to fail.
+    /// Free endpoints whose VM lacks the model that they should keep in memory or, if they have it,
+    /// another model.
     fn needs_for_spares(
         &self,
         inputs: &Inputs<'_>,
@@ -160,29 +159,14 @@
         domains: &FreeEndpoints,
     ) -> Vec<StagingNeed> {
         let mut needs = Vec::new();
-        let members = members_by_domain(inputs, engine);
-        for (domain, free) in domains {
-            let spares_of =
-                |model: &Model| (model.name.clone(), self.count_holding(inputs, free, model));
-            let mut spare_counts: BTreeMap<Name, usize> =
-                engine.models.iter().map(spares_of).collect();
-            let member_count = |model: &Model| {
-                let key = (domain.clone(), model.name.clone());
-                members.get(&key).copied().unwrap_or(0)
+        for spare in self.spares(inputs, engine, domains) {
+            let others = engine.models.iter().filter(|model| model.name != spare.model.name);
+            let model = match others.max_by_key(|model| model.size) {
+                Some(other) if spare.loaded => other,
+                _ => spare.model,
             };
-            let holds_no_model =
-                |id: &&Name| !engine.models.iter().any(|model| self.will_hold(inputs, id, model));
-            for id in free.iter().filter(holds_no_model) {
-                let members_per_spare = |model: &Model| {
-                    let spares = spare_counts.get(&model.name).copied().unwrap_or(0);
-                    member_count(model) as f64 / (spares + 1) as f64
-                };
-                let order = |a: &&Model, b: &&Model| {
-                    members_per_spare(a).total_cmp(&members_per_spare(b)).then(a.size.cmp(&b.size))
-                };
-                let Some(model) = engine.models.iter().max_by(order) else { continue };
-                *spare_counts.entry(model.name.clone()).or_default() += 1;
-                needs.push(StagingNeed { id: id.clone(), model: model.name.clone() });
+            if !self.will_hold(inputs, &spare.id, model) {
+                needs.push(StagingNeed { id: spare.id, model: model.name.clone() });
             }
         }
         needs
@@ -217,7 +201,7 @@
     }
 
     /// Whether an endpoint is warm for a model, or its VM was recently ordered to stage it.
-    fn will_hold(&self, inputs: &Inputs<'_>, id: &Name, model: &Model) -> bool {
+    pub(super) fn will_hold(&self, inputs: &Inputs<'_>, id: &Name, model: &Model) -> bool {
         let ordered = self.staging_orders.get(id).is_some_and(|order| order.model == model.name);
         ordered || is_warm(inputs, id, &model.name)
     }
@@ -254,18 +238,3 @@
         self.send_order(inputs.term, pending, address, task, effects);
     }
 }
-
-/// Number of members in groups that are not being dissolved, by fabric domain and model.
-fn members_by_domain(inputs: &Inputs<'_>, engine: &Engine) -> BTreeMap<(Name, Name), usize> {
-    let mut members = BTreeMap::new();
-    for group in inputs.state_machine.groups.values().filter(|group| !group.dissolving) {
-        let Some(model) = engine.models.iter().find(|model| *model.name == *group.model) else {
-            continue;
-        };
-        let Some(domain) = group.head().and_then(|head| domain_of(inputs, &head.id)) else {
-            continue;
-        };
-        *members.entry((domain, model.name.clone())).or_default() += group.members.len();
-    }
-    members
-}
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -255,6 +255,51 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// A free endpoint keeps a model in memory and has the other on its VM. A group that loses a member
+/// other than its head opens again as soon as an endpoint with the model in memory has joined.
+#[rstest]
+#[case::small(3)]
+#[case::large(6)]
+fn group_that_loses_a_member_opens_again_with_a_spare_in_memory(#[case] size: usize) {
+    let mut cluster = serving_cluster_with(Shape { domains: 2, endpoints: 11, large: 6, small: 3 });
+    let before = cluster.open_groups();
+    let head = cluster.heads().into_iter().find(|head| cluster.members(head).len() == size);
+    let Some(head) = head else { panic!("no open group with {size} members") };
+    let member = cluster.members(&head)[1].clone();
+    if let Some(engine) = cluster.engines.get_mut(&member) {
+        engine.dead = true;
+    }
+    let lost = |cluster: &Cluster| cluster.open_groups() < before;
+    assert!(cluster.run_until(SECOND * 6, lost), "the group was not taken out of service");
+    let repaired = |cluster: &Cluster| cluster.open_groups() == before;
+    assert!(
+        cluster.run_until(SECOND, repaired),
+        "{} open groups one second after the loss, {before} before",
+        cluster.open_groups()
+    );
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
+/// Consecutive losses in one domain use up its spares, first of one model, then of the other.
+#[test]
+fn spare_in_memory_for_one_model_replaces_a_member_of_another() {
+    let mut cluster = serving_cluster_with(Shape { domains: 1, endpoints: 11, large: 6, small: 3 });
+    for _ in 0..2 {
+        let head = cluster.heads().into_iter().find(|head| cluster.members(head).len() == 6);
+        let Some(head) = head else { panic!("no open group with 6 members") };
+        let member = cluster.members(&head)[1].clone();
+        if let Some(engine) = cluster.engines.get_mut(&member) {
+            engine.dead = true;
+        }
+        assert!(cluster.run_until(SECOND * 6, |cluster| cluster.open_groups() < 2), "not noticed");
+        assert!(
+            cluster.run_until(SECOND * 3, |cluster| cluster.open_groups() == 2),
+            "the group was not formed again without a load from the weight store"
+        );
+    }
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
 /// A partition may reset connections, so a refused connection does not prove that a head has
 /// terminated. The head may still run requests, and its members must not join other groups.
 #[test]
