Choose a serving group among two drawn at random

Change: two groups are drawn for each request, the one with the shorter expected wait is chosen (two choices against stale loads).

--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
+use smallvec::SmallVec;
 
 use crate::message::{Loads, Target as Description, View};
 use crate::Name;
@@ -49,6 +50,10 @@
 /// Upper bound of the random part in an endpoint's score, in prompt tokens. Of endpoints whose
 /// scores otherwise differ by less, any may be chosen.
 const JITTER_TOKENS: f64 = 120.0;
+/// Number of serving groups, drawn at random for each request, of which the one with the shortest
+/// expected wait is chosen. The daemons learn of each other's requests only after a delay; if each
+/// chose among all groups, all would choose the same one until then.
+const SAMPLED_GROUPS: usize = 2;
 /// Requests beyond its slots that a plain endpoint may be sent, as a multiple of the slots.
 const PLAIN_OVERCOMMIT: f64 = 1.0;
 /// Requests beyond its slots that a serving group may be sent, as a multiple of the slots.
@@ -107,6 +112,17 @@
     targets: BTreeMap<Name, Target>,
 }
 
+/// An endpoint that could be sent a request.
+struct Candidate<'a> {
+    id: &'a Name,
+    /// Expected wait with penalties, in prompt tokens.
+    score: f64,
+    /// Random position among the candidates.
+    rank: u64,
+    /// Whether it is the head of a serving group.
+    is_group: bool,
+}
+
 /// Result of the choice of an endpoint for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -168,8 +184,9 @@
     }
 
     /// Chooses the endpoint for a request, other than those in `tried`: the one with the shortest
-    /// expected wait, after a penalty on other availability zones and a random part derived from
-    /// `random` are added to it.
+    /// expected wait, after a penalty on other availability zones and a random part are added to it.
+    /// Of serving groups, only [`SAMPLED_GROUPS`] are compared. What is random follows from
+    /// `random`.
     pub fn choose(
         &self,
         requirement: &Requirement,
@@ -177,8 +194,8 @@
         now: Instant,
         random: u64,
     ) -> Choice {
-        let mut best: Option<(f64, &Name)> = None;
         let mut has_eligible = false;
+        let mut candidates: SmallVec<[Candidate<'_>; 16]> = SmallVec::new();
         for (index, (id, target)) in self.targets.iter().enumerate() {
             if !target.meets(requirement) || tried.contains(id) || now < target.ejected_until {
                 continue;
@@ -187,17 +204,21 @@
             if target.load() >= target.load_limit() {
                 continue;
             }
-            let jitter =
-                (random.rotate_left(index as u32 * 7) & 0xff) as f64 / 256.0 * JITTER_TOKENS;
+            let bits = scramble(random, index as u64);
+            let jitter = (bits & 0xff) as f64 / 256.0 * JITTER_TOKENS;
             let zone_penalty =
                 if *target.description.zone == *self.zone { 0.0 } else { ZONE_PENALTY_TOKENS };
             let score = target.expected_wait_tokens() + jitter + zone_penalty;
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, id));
-            }
+            let is_group = !target.description.group.is_empty();
+            candidates.push(Candidate { id, score, rank: bits >> 8, is_group });
         }
+        if candidates.iter().any(|candidate| candidate.is_group) {
+            candidates.sort_unstable_by_key(|candidate| candidate.rank);
+            candidates.truncate(SAMPLED_GROUPS);
+        }
+        let best = candidates.iter().min_by(|a, b| a.score.total_cmp(&b.score));
         match best {
-            Some((_, id)) => Choice::Endpoint(id.clone()),
+            Some(candidate) => Choice::Endpoint(candidate.id.clone()),
             None if has_eligible => Choice::Full,
             None => Choice::None,
         }
@@ -353,6 +374,13 @@
     }
 }
 
+/// Random bits for the candidate at `index`, from the random number of a request.
+fn scramble(random: u64, index: u64) -> u64 {
+    let spread = random ^ index.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = spread.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ (mixed >> 31)
+}
+
 impl Target {
     fn new(description: Description, now: Instant) -> Target {
         Target {
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -17,6 +17,8 @@
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
+mod placing;
+
 const SELECTED_CONTROL: &str = "10.0.0.9";
 /// A control daemon that sends no status and therefore is not selected.
 const UNSELECTED_CONTROL: &str = "10.7.0.9";
@@ -103,6 +105,11 @@
 impl Harness {
     /// A daemon that has just started and has no connection.
     fn starting() -> Harness {
+        Harness::starting_seeded(7)
+    }
+
+    /// Like [`Harness::starting`]; what the daemon draws at random follows from `seed`.
+    fn starting_seeded(seed: u64) -> Harness {
         let now = Instant::from_millis(3_600_000);
         let setup = Setup {
             daemon: "10.0.0.1".into(),
@@ -110,7 +117,7 @@
             retry_ratio: 0.1,
             retry_slack: 40.0,
         };
-        let state = State::open(setup, StubReader, 7, now);
+        let state = State::open(setup, StubReader, seed, now);
         let (decisions, abandoned, reported_crashes, unselected_reports) = Default::default();
         Harness {
             now,
@@ -126,7 +133,12 @@
     /// A ready daemon whose view lists the given endpoints, each with its identity, service,
     /// availability zone and slots.
     fn open(targets: &[(&str, &str, &str, u32)]) -> Harness {
-        let mut harness = Harness::starting();
+        Harness::open_seeded(targets, 7)
+    }
+
+    /// Like [`Harness::open`]; what the daemon draws at random follows from `seed`.
+    fn open_seeded(targets: &[(&str, &str, &str, u32)], seed: u64) -> Harness {
+        let mut harness = Harness::starting_seeded(seed);
         harness.apply(Event::Connected(SELECTED_CONTROL.into()));
         harness.receive(Body::Document(RawDocument { version: 1, body: b"1".to_vec() }));
         harness.status(1, &[]);
