Members in a domain with spares keep the weights of their own model

Cause: each member's VM staged the other model, for a conversion of its group. Change: only members in domains in which not every model has a spare stage another model.

--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -5,7 +5,7 @@
 //! weights from the weight store. Its VM is therefore ordered to stage another model, so that the
 //! endpoint can join a group of either model quickly.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -114,9 +114,10 @@
         engine: &Engine,
     ) -> Vec<StagingNeed> {
         let mut domains = self.free_endpoints(inputs, service);
+        let reserves = self.domains_with_reserves(inputs, engine, &domains);
         let mut needs = self.needs_for_new_groups(inputs, service, engine, &mut domains);
         needs.extend(self.needs_for_spares(inputs, engine, &domains));
-        needs.extend(self.needs_for_conversions(inputs, service, engine));
+        needs.extend(self.needs_for_conversions(inputs, service, engine, &reserves));
         needs
     }
 
@@ -172,13 +173,31 @@
         needs
     }
 
+    /// Fabric domains in which free endpoints hold each model, so that members of groups there need
+    /// not stand in for those of other groups.
+    fn domains_with_reserves(
+        &self,
+        inputs: &Inputs<'_>,
+        engine: &Engine,
+        domains: &FreeEndpoints,
+    ) -> BTreeSet<Name> {
+        let has_reserves = |free: &[Name]| {
+            engine.models.iter().all(|model| self.count_holding(inputs, free, model) > 0)
+        };
+        let with_reserves = domains.iter().filter(|(_, free)| has_reserves(free));
+        with_reserves.map(|(domain, _)| domain.clone()).collect()
+    }
+
     /// Members of groups whose VM lacks the model to which their group would be converted. That is
     /// the other model with the most members per group or, among equals, with the highest demand.
+    /// Members in a domain with reserves keep the weights of their own model on their VM, which a
+    /// restart of the endpoint does not erase.
     fn needs_for_conversions(
         &self,
         inputs: &Inputs<'_>,
         service: &Service,
         engine: &Engine,
+        reserves: &BTreeSet<Name>,
     ) -> Vec<StagingNeed> {
         let mut models: Vec<&Model> = engine.models.iter().collect();
         models.sort_by(|a, b| {
@@ -188,7 +207,8 @@
         let mut needs = Vec::new();
         for (id, endpoint) in inputs.endpoints.iter() {
             let Some(group) = inputs.state_machine.group_of(id) else { continue };
-            if !is_usable(endpoint, service, inputs.now, self.times.loss_timeout()) {
+            let usable = is_usable(endpoint, service, inputs.now, self.times.loss_timeout());
+            if !usable || reserves.contains(&*endpoint.heartbeat.domain) {
                 continue;
             }
             let next = models.iter().find(|model| *model.name != *group.model);
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -300,6 +300,34 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// When all endpoints of a fabric domain restart, each has only the weights on its VM. The groups
+/// that served there must be formed again from those, without a load from the weight store.
+#[test]
+fn groups_of_a_domain_that_restarts_are_formed_again_without_loads() {
+    let shape = Shape { domains: 2, endpoints: 11, large: 6, small: 3 };
+    let mut cluster = serving_cluster_with(shape);
+    cluster.run(SECOND * 5);
+    let ids: Vec<Name> = cluster.engines.keys().take(shape.endpoints).cloned().collect();
+    for id in &ids {
+        if let Some(engine) = cluster.engines.get_mut(id) {
+            engine.dead = true;
+        }
+    }
+    cluster.run(SECOND * 8);
+    for id in &ids {
+        cluster.restart_engine(id);
+    }
+    cluster.run(SECOND * 5);
+    let sizes = |cluster: &Cluster| {
+        let heads = cluster.heads().into_iter().filter(|head| ids.contains(head));
+        let mut sizes: Vec<usize> = heads.map(|head| cluster.members(&head).len()).collect();
+        sizes.sort_unstable();
+        sizes
+    };
+    assert_eq!(sizes(&cluster), [3, 6], "groups of the restarted domain");
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
 /// A partition may reset connections, so a refused connection does not prove that a head has
 /// terminated. The head may still run requests, and its members must not join other groups.
 #[test]
