control tests: copying weights takes its time in the simulation

The simulated VM staged a model at once, so the test of a restarted domain passed without the change that it guards. Now it takes the time of a load, a tenth of it before callers send requests; without the change the test fails (groups of 3 and 3 instead of 3 and 6).

--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -105,6 +105,8 @@
     last_served: Option<String>,
     /// Model whose weights are on its VM.
     staged: Option<String>,
+    /// Model that its VM is copying from the weight store, and when that is done.
+    copying: Option<(String, Instant)>,
     heartbeat_due: Instant,
     /// Highest epoch of an order to join.
     highest_epoch: u64,
@@ -205,6 +207,7 @@
             ready_at: self.now,
             last_served: None,
             staged: None,
+            copying: None,
             heartbeat_due: self.now + Duration::from_millis(at as u64 * 25),
             highest_epoch: 0,
             stops_at: None,
@@ -466,6 +469,7 @@
 
     fn execute(&mut self, order: &Order) -> Outcome {
         let now = self.now;
+        let load_time = if self.traffic { COLD_LOAD } else { COLD_LOAD / 10 };
         self.check_join(order);
         let Some(engine) = self.engines.get_mut(&order.endpoint) else { return Outcome::Refused };
         if engine.dead {
@@ -490,7 +494,7 @@
                 let span = match engine.last_served.as_deref() {
                     Some(served) if served == &**model => Duration::from_millis(200),
                     _ if warm => WARM_LOAD,
-                    _ => COLD_LOAD,
+                    _ => load_time,
                 };
                 engine.ready_at = now + span;
                 engine.staged = Some(model.to_string());
@@ -539,8 +543,8 @@
                 Outcome::Done
             }
             Task::Stage { model } => {
-                engine.staged = Some(model.to_string());
-                Outcome::Done
+                engine.copying = Some((model.to_string(), now + load_time));
+                Outcome::Taken
             }
         }
     }
@@ -593,6 +597,10 @@
         if engine.dead {
             return;
         }
+        if engine.copying.as_ref().is_some_and(|(_, done)| now >= *done) {
+            engine.staged = engine.copying.take().map(|(model, _)| model);
+            engine.heartbeat_due = now;
+        }
         let mut ready = None;
         if let Some(membership) = &mut engine.membership {
             if membership.stage() == Stage::Joining && now >= engine.ready_at {
