Free the members of a group whose head the leader never knew; log the placement

Cause: a head that is lost for good sends no heartbeats, so a control daemon that starts later never knows it. Change: an unknown head no longer ends the check; the members are free when the head must be broken, as with a known one.

--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -36,6 +36,7 @@
 pub mod forming;
 pub mod staging;
 mod standby;
+mod summary;
 
 /// Time after which an order to an endpoint or a proposed change is repeated if it has had no
 /// effect.
@@ -170,6 +171,8 @@
     staging_orders: BTreeMap<Name, staging::StagingOrder>,
     /// Recent orders to join a standby group.
     standby_orders: standby::StandbyOrders,
+    /// Placement that was last logged.
+    last_summary: summary::LastSummary,
     /// Fabric domains whose free endpoints are reserved for one model after a conversion.
     reserved_domains: forming::ReservedDomains,
     /// When groups were last dissolved for another model.
@@ -192,6 +195,7 @@
             load_limiter: staging::LoadLimiter::default(),
             staging_orders: BTreeMap::new(),
             standby_orders: BTreeMap::new(),
+            last_summary: summary::LastSummary::default(),
             reserved_domains: BTreeMap::new(),
             last_conversion: None,
             endpoint_count: None,
@@ -229,6 +233,7 @@
         self.form_groups(inputs, changes, effects);
         self.load_spares(inputs, effects);
         self.stage_models(inputs, effects);
+        self.log_summary(inputs, effects);
     }
 
     /// Records the outcome of an order, whether or not this daemon is still leader.
--- a/crates/fleet/src/control/planner/dissolving.rs
+++ b/crates/fleet/src/control/planner/dissolving.rs
@@ -112,14 +112,17 @@
     }
 
     /// Whether the head can no longer run a request of this group: it has left, terminated or
-    /// restarted, or another member left so long ago that the head must be broken.
+    /// restarted, or another member left so long ago that the head must be broken. A new leader may
+    /// not know the head: one that has terminated sends no heartbeats.
     fn is_released(&self, inputs: &Inputs<'_>, group: &Group, head: &Member) -> bool {
         let Some(state) = self.groups.get(&*group.name) else { return false };
         if state.left_at.contains_key(&*head.id) {
             return true;
         }
-        let Some(endpoint) = inputs.endpoints.find(&head.id) else { return false };
-        if endpoint.heartbeat.started_unix_ms != head.started_unix_ms || endpoint.confirmed_dead {
+        let has_terminated = inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
+            endpoint.heartbeat.started_unix_ms != head.started_unix_ms || endpoint.confirmed_dead
+        });
+        if has_terminated {
             return true;
         }
         let broken_after = self.times.stall_timeout + Duration::from_millis(500);
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -339,7 +339,7 @@
 /// Target number of groups for each model: usable endpoints are assigned one group at a time, each
 /// to the model whose load per group is highest at that point, until no model's group fits any
 /// more.
-fn target_counts(
+pub(super) fn target_counts(
     inputs: &Inputs<'_>,
     service: &Service,
     engine: &Engine,
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -328,6 +328,28 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// A leader that was not running when a head terminated never hears of it. The group's other members
+/// must become free all the same.
+#[test]
+fn members_of_a_head_that_the_leader_never_knew_become_free() {
+    let mut cluster = serving_cluster_with(Shape { domains: 1, endpoints: 11, large: 6, small: 3 });
+    let head = cluster.heads().into_iter().find(|head| cluster.members(head).len() == 6);
+    let Some(head) = head else { panic!("no open group with 6 members") };
+    if let Some(engine) = cluster.engines.get_mut(&head) {
+        engine.dead = true;
+    }
+    assert!(cluster.run_until(SECOND * 6, |cluster| cluster.open_groups() < 2), "not noticed");
+    for name in daemon_names() {
+        cluster.kill(&name);
+    }
+    for name in daemon_names() {
+        cluster.start(&name, &format!("{name}#0"));
+    }
+    let formed_again = |cluster: &Cluster| cluster.open_groups() == 2;
+    assert!(cluster.run_until(SECOND * 15, formed_again), "{} of 2 groups", cluster.open_groups());
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
 /// A partition may reset connections, so a refused connection does not prove that a head has
 /// terminated. The head may still run requests, and its members must not join other groups.
 #[test]
