Stage no more models at once than the weight store serves at full speed

Cause: staging was limited by loads begun in 5 s only (about 10), while beyond six concurrent loads each takes longer in proportion: spares that the next repair waits for were slowed down by copies that nothing waits for. Change: a staging order waits while as many VMs as the store serves at full speed (published by the service) are still copying.

--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -231,6 +231,13 @@
         ids.iter().filter(|id| self.will_hold(inputs, id, model)).count()
     }
 
+    /// Number of VMs that were ordered to stage a model and have not reported it.
+    fn loads_running(&self, inputs: &Inputs<'_>) -> usize {
+        let unfinished =
+            self.staging_orders.iter().filter(|(id, order)| !is_staged(inputs, id, &order.model));
+        unfinished.count()
+    }
+
     /// Orders a VM to stage a model, unless it was ordered to stage one recently or the load
     /// limiter permits no load. The limiter applies only once callers have sent requests.
     fn order_staging(
@@ -244,6 +251,10 @@
         if self.staging_orders.contains_key(&id) {
             return;
         }
+        let is_limited = inputs.traffic && engine.loads_at_once > 0;
+        if is_limited && self.loads_running(inputs) >= engine.loads_at_once as usize {
+            return;
+        }
         if inputs.traffic
             && !self.load_limiter.try_start(inputs.now, engine.loads_per_s, FORMING_LOAD_FRACTION)
         {
@@ -258,3 +269,9 @@
         self.send_order(inputs.term, pending, address, task, effects);
     }
 }
+
+/// Whether the VM of an endpoint reports that it has staged a model.
+fn is_staged(inputs: &Inputs<'_>, id: &str, model: &str) -> bool {
+    let endpoint = inputs.endpoints.find(id);
+    endpoint.is_some_and(|endpoint| endpoint.heartbeat.staged.iter().any(|staged| staged == model))
+}
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -124,6 +124,8 @@
     pub prompt_tokens_per_s: f64,
     /// Model loads from the weight store that may begin per second.
     pub loads_per_s: f64,
+    /// Concurrent model loads from the weight store beyond which each takes longer; 0 if unknown.
+    pub loads_at_once: u32,
     /// Prompt tokens of a typical request.
     pub typical_prompt_tokens: f64,
     /// Generated tokens of a typical request.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -80,6 +80,7 @@
         per_sequence_ms: 0.24,
         prompt_tokens_per_s: 46_000.0,
         loads_per_s: 4.0,
+        loads_at_once: 6,
         typical_prompt_tokens: 1000.0,
         typical_output_tokens: 100.0,
     };
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -83,6 +83,7 @@
         per_sequence_ms: 0.2,
         prompt_tokens_per_s: 46_000.0,
         loads_per_s: 4.0,
+        loads_at_once: 6,
         typical_prompt_tokens: 1000.0,
         typical_output_tokens: 100.0,
     };
