testkit: test processes claim blocks of ports

Change: a process listens on the first port of a block of 100 for as long as it runs, and assigns only the others of its blocks.

--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -2,9 +2,8 @@
 //! folders and log files.
 
 use std::ffi::OsString;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use http_types::Method;
@@ -12,6 +11,7 @@
 use smol::Timer;
 
 use crate::client::{call, Call, Reply};
+use crate::ports;
 use crate::process::Process;
 
 /// Time between two reads of a daemon's status while waiting for a condition.
@@ -74,30 +74,6 @@
     pub address: SocketAddr,
 }
 
-/// First port that is assigned to daemons. All assigned ports lie below the system's ephemeral
-/// ports, so that no outgoing connection occupies a port before its daemon listens on it.
-const FIRST_PORT: u32 = 10_000;
-/// Number of ports, from [`FIRST_PORT`] on, that can be assigned to daemons.
-const PORT_COUNT: u32 = 20_000;
-
-/// Number of ports tried so far by this process.
-static PORTS_TRIED: AtomicU32 = AtomicU32::new(0);
-
-/// Returns loopback addresses on which nothing listens. Ports are tried in turn from an offset that
-/// depends on the process id, so that test processes that run at once rarely try the same ones.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let mut addresses = Vec::new();
-    while addresses.len() < count {
-        let tried = PORTS_TRIED.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (std::process::id() * 97 + tried) % PORT_COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            addresses.push(address);
-        }
-    }
-    addresses
-}
-
 impl Deployment {
     /// Assigns names and addresses to `disk_daemons` daemons with a disk and `diskless_daemons`
     /// without one in each zone, and starts none of them. `program` is the program of a daemon with
@@ -112,7 +88,7 @@
         let mut daemons = Vec::new();
         for zone in zones {
             for number in 0..disk_daemons + diskless_daemons {
-                let ports = free_addresses(4);
+                let ports = ports::assign(4);
                 daemons.push(Daemon {
                     name: format!("{zone}-{number}"),
                     zone: (*zone).to_owned(),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod load;
 pub mod plain;
+pub mod ports;
 pub mod process;
 pub mod proxy;
 pub mod role;
