--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -190,13 +190,6 @@
         run_time.deviation += RUN_TIME_WEIGHT * (distance.abs() - run_time.deviation);
     }
 
-    /// Expected time until a refused request of this workspace could be admitted.
-    pub fn retry_after(&mut self, quota: &Quota, now: Instant) -> Duration {
-        let ahead = self.lanes.get(&quota.workspace).map_or(0, |lane| lane.waiting.len());
-        let wait = self.expected_wait(&quota.workspace, quota.share, ahead, now);
-        wait.max(Duration::from_millis(100))
-    }
-
     /// Time within which nearly all running requests finish; zero before the first one has
     /// finished.
     fn typical_run_time(&self) -> Duration {
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -32,11 +32,13 @@
 use super::state_machine::{Change, Group, GroupDissolution, Member, StateMachine};
 use super::Effect;
 
+mod converting;
 mod dissolving;
 pub mod forming;
 pub mod staging;
 mod standby;
 mod summary;
+mod targets;
 
 /// Time after which an order to an endpoint or a proposed change is repeated if it has had no
 /// effect.
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -15,7 +15,8 @@
 use crate::Name;
 
 use super::super::Effect;
-use super::forming::{demand_weight, is_usable, is_warm, Allocation, FreeEndpoints};
+use super::forming::{is_usable, is_warm, FreeEndpoints};
+use super::targets::{demand_weight, Allocation};
 use super::{Inputs, PendingOrder, Planner, Purpose};
 
 /// Length of the sliding window in which loads are counted. A new leader starts no load for half of
--- a/crates/fleet/src/entry/queue.rs
+++ b/crates/fleet/src/entry/queue.rs
@@ -62,15 +62,6 @@
         on_time.or(queue.front()).map(|waiting| waiting.id)
     }
 
-    /// Removes the request whose latency target was missed first, if there is one, and returns its
-    /// id.
-    pub fn pop_stale(&mut self, requirement: &Requirement, now: Instant) -> Option<u64> {
-        let queue = self.queues.get_mut(requirement)?;
-        let stale = queue.iter().enumerate().filter(|(_, waiting)| now >= waiting.on_time_until);
-        let (at, _) = stale.min_by_key(|(_, waiting)| waiting.on_time_until)?;
-        queue.remove(at).map(|waiting| waiting.id)
-    }
-
     /// Removes a request.
     pub fn remove(&mut self, requirement: &Requirement, id: u64) {
         if let Some(queue) = self.queues.get_mut(requirement) {
