--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -123,6 +123,9 @@
     is_group: bool,
 }
 
+/// Endpoints that could be sent a request.
+type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
+
 /// Result of the choice of an endpoint for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -195,7 +198,7 @@
         random: u64,
     ) -> Choice {
         let mut has_eligible = false;
-        let mut candidates: SmallVec<[Candidate<'_>; 16]> = SmallVec::new();
+        let mut candidates = Candidates::new();
         for (index, (id, target)) in self.targets.iter().enumerate() {
             if !target.meets(requirement) || tried.contains(id) || now < target.ejected_until {
                 continue;
@@ -212,10 +215,7 @@
             let is_group = !target.description.group.is_empty();
             candidates.push(Candidate { id, score, rank: bits >> 8, is_group });
         }
-        if candidates.iter().any(|candidate| candidate.is_group) {
-            candidates.sort_unstable_by_key(|candidate| candidate.rank);
-            candidates.truncate(SAMPLED_GROUPS);
-        }
+        sample_groups(&mut candidates);
         let best = candidates.iter().min_by(|a, b| a.score.total_cmp(&b.score));
         match best {
             Some(candidate) => Choice::Endpoint(candidate.id.clone()),
@@ -374,6 +374,14 @@
     }
 }
 
+/// Keeps [`SAMPLED_GROUPS`] of the candidates if they are serving groups.
+fn sample_groups(candidates: &mut Candidates<'_>) {
+    if candidates.iter().any(|candidate| candidate.is_group) {
+        candidates.sort_unstable_by_key(|candidate| candidate.rank);
+        candidates.truncate(SAMPLED_GROUPS);
+    }
+}
+
 /// Random bits for the candidate at `index`, from the random number of a request.
 fn scramble(random: u64, index: u64) -> u64 {
     let spread = random ^ index.wrapping_mul(0x9e37_79b9_7f4a_7c15);
