--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -136,8 +136,12 @@
     /// Whether it is warm for a model: it can serve the model without loading the weights from the
     /// weight store.
     pub fn is_warm(&self, model: &str) -> bool {
-        self.model_in_memory() == Some(model)
-            || self.heartbeat.staged.iter().any(|staged| staged == model)
+        self.model_in_memory() == Some(model) || self.has_staged(model)
+    }
+
+    /// Whether its VM has the weights of a model.
+    pub fn has_staged(&self, model: &str) -> bool {
+        self.heartbeat.staged.iter().any(|staged| staged == model)
     }
 
     /// Whether it is alive and accepts new work.
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -114,6 +114,7 @@
     Close,
     Leave,
     Stage,
+    /// Join a standby group, which is not in the log.
     Standby,
 }
 
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -2,8 +2,9 @@
 //! weight store, which staging and the formation of groups share.
 //!
 //! A member of a group stays warm for the group's model: it can serve it again without loading the
-//! weights from the weight store. Its VM is therefore ordered to stage another model, so that the
-//! endpoint can join a group of either model quickly.
+//! weights from the weight store. So does a spare for the model in its memory ([`super::standby`]).
+//! The VM of a spare is therefore ordered to stage another model, so that it can join a group of
+//! either quickly; the VMs of members only in domains without a spare for each model.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
@@ -234,13 +235,16 @@
 
     /// Number of VMs that were ordered to stage a model and have not reported it.
     fn loads_running(&self, inputs: &Inputs<'_>) -> usize {
-        let unfinished =
-            self.staging_orders.iter().filter(|(id, order)| !is_staged(inputs, id, &order.model));
-        unfinished.count()
+        let has_staged = |id: &Name, model: &str| {
+            inputs.endpoints.find(id).is_some_and(|endpoint| endpoint.has_staged(model))
+        };
+        let orders = self.staging_orders.iter();
+        orders.filter(|(id, order)| !has_staged(id, &order.model)).count()
     }
 
-    /// Orders a VM to stage a model, unless it was ordered to stage one recently or the load
-    /// limiter permits no load. The limiter applies only once callers have sent requests.
+    /// Orders a VM to stage a model, unless it was ordered to stage one recently. Once callers have
+    /// sent requests, it also waits while the weight store serves as many VMs as it can at full
+    /// speed, or while the load limiter permits no load.
     fn order_staging(
         &mut self,
         inputs: &mut Inputs<'_>,
@@ -270,9 +274,3 @@
         self.send_order(inputs.term, pending, address, task, effects);
     }
 }
-
-/// Whether the VM of an endpoint reports that it has staged a model.
-fn is_staged(inputs: &Inputs<'_>, id: &str, model: &str) -> bool {
-    let endpoint = inputs.endpoints.find(id);
-    endpoint.is_some_and(|endpoint| endpoint.heartbeat.staged.iter().any(|staged| staged == model))
-}
--- a/crates/fleet/src/control/planner/standby.rs
+++ b/crates/fleet/src/control/planner/standby.rs
@@ -28,6 +28,9 @@
 /// Time for which an endpoint gets no further order to join a standby group.
 const STANDBY_RETRY_INTERVAL: Duration = Duration::from_secs(4);
 
+/// When endpoints were last ordered to join a standby group, by identity.
+pub(super) type StandbyOrders = BTreeMap<Name, Instant>;
+
 /// A free endpoint and the model that it should keep in memory.
 #[derive(Debug)]
 pub(super) struct Spare<'a> {
@@ -139,9 +142,6 @@
     }
 }
 
-/// When endpoints were last ordered to join a standby group, by identity.
-pub(super) type StandbyOrders = BTreeMap<Name, Instant>;
-
 /// Number of members in groups that are not being dissolved, by fabric domain and model.
 fn members_by_domain(inputs: &Inputs<'_>, engine: &Engine) -> BTreeMap<(Name, Name), usize> {
     let mut members = BTreeMap::new();
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -324,6 +324,33 @@
         self.engines[head].members.clone()
     }
 
+    /// Head of an open group with this number of members.
+    pub fn head_of_size(&self, size: usize) -> Name {
+        let head = self.heads().into_iter().find(|head| self.members(head).len() == size);
+        head.unwrap_or_else(|| panic!("no open group with {size} members"))
+    }
+
+    /// Terminates engines without notice.
+    pub fn kill_engines(&mut self, ids: &[Name]) {
+        for id in ids {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.dead = true;
+            }
+        }
+    }
+
+    /// Erases the weights on an engine's VM.
+    pub fn erase_weights(&mut self, id: &Name) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.staged = None;
+        }
+    }
+
+    /// Number of VMs that are copying a model from the weight store.
+    pub fn copying(&self) -> usize {
+        self.engines.values().filter(|engine| !engine.dead && engine.copying.is_some()).count()
+    }
+
     /// Restarts an engine under its identity; it loses its state, but the weights stay on its VM.
     pub fn restart_engine(&mut self, id: &Name) {
         let now = self.now;
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -213,9 +213,7 @@
         panic!("no open group with 4 members")
     };
     let member = cluster.members(&head)[2].clone();
-    if let Some(engine) = cluster.engines.get_mut(&member) {
-        engine.dead = true;
-    }
+    cluster.kill_engines(std::slice::from_ref(&member));
     cluster.run(SECOND * 15);
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
     assert!(
@@ -238,9 +236,7 @@
         panic!("no open group with {size} members")
     };
     let member = cluster.members(head)[2].clone();
-    if let Some(engine) = cluster.engines.get_mut(&member) {
-        engine.dead = true;
-    }
+    cluster.kill_engines(std::slice::from_ref(&member));
     let lost = |cluster: &Cluster| cluster.open_groups() < before;
     assert!(
         cluster.run_until(SECOND * 6, lost),
@@ -263,12 +259,9 @@
 fn group_that_loses_a_member_opens_again_with_a_spare_in_memory(#[case] size: usize) {
     let mut cluster = serving_cluster_with(Shape { domains: 2, endpoints: 11, large: 6, small: 3 });
     let before = cluster.open_groups();
-    let head = cluster.heads().into_iter().find(|head| cluster.members(head).len() == size);
-    let Some(head) = head else { panic!("no open group with {size} members") };
+    let head = cluster.head_of_size(size);
     let member = cluster.members(&head)[1].clone();
-    if let Some(engine) = cluster.engines.get_mut(&member) {
-        engine.dead = true;
-    }
+    cluster.kill_engines(std::slice::from_ref(&member));
     let lost = |cluster: &Cluster| cluster.open_groups() < before;
     assert!(cluster.run_until(SECOND * 6, lost), "the group was not taken out of service");
     let repaired = |cluster: &Cluster| cluster.open_groups() == before;
@@ -285,12 +278,9 @@
 fn spare_in_memory_for_one_model_replaces_a_member_of_another() {
     let mut cluster = serving_cluster_with(Shape { domains: 1, endpoints: 11, large: 6, small: 3 });
     for _ in 0..2 {
-        let head = cluster.heads().into_iter().find(|head| cluster.members(head).len() == 6);
-        let Some(head) = head else { panic!("no open group with 6 members") };
+        let head = cluster.head_of_size(6);
         let member = cluster.members(&head)[1].clone();
-        if let Some(engine) = cluster.engines.get_mut(&member) {
-            engine.dead = true;
-        }
+        cluster.kill_engines(std::slice::from_ref(&member));
         assert!(cluster.run_until(SECOND * 6, |cluster| cluster.open_groups() < 2), "not noticed");
         assert!(
             cluster.run_until(SECOND * 3, |cluster| cluster.open_groups() == 2),
@@ -308,11 +298,7 @@
     let mut cluster = serving_cluster_with(shape);
     cluster.run(SECOND * 5);
     let ids: Vec<Name> = cluster.engines.keys().take(shape.endpoints).cloned().collect();
-    for id in &ids {
-        if let Some(engine) = cluster.engines.get_mut(id) {
-            engine.dead = true;
-        }
-    }
+    cluster.kill_engines(&ids);
     cluster.run(SECOND * 8);
     for id in &ids {
         cluster.restart_engine(id);
@@ -328,16 +314,33 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// Endpoints that come back on empty VMs need many models at once. The weight store serves six
+/// copies at full speed; more would delay those that the next group waits for.
+#[test]
+fn copies_at_once_stay_within_what_the_weight_store_serves() {
+    let shape = Shape { domains: 3, endpoints: 11, large: 6, small: 3 };
+    let mut cluster = serving_cluster_with(shape);
+    let ids: Vec<Name> = cluster.engines.keys().take(2 * shape.endpoints).cloned().collect();
+    cluster.kill_engines(&ids);
+    cluster.run(SECOND * 8);
+    for id in &ids {
+        cluster.erase_weights(id);
+        cluster.restart_engine(id);
+    }
+    assert!(
+        !cluster.run_until(SECOND * 20, |cluster| cluster.copying() > 6),
+        "{} copies at once",
+        cluster.copying()
+    );
+}
+
 /// A leader that was not running when a head terminated never hears of it. The group's other members
 /// must become free all the same.
 #[test]
 fn members_of_a_head_that_the_leader_never_knew_become_free() {
     let mut cluster = serving_cluster_with(Shape { domains: 1, endpoints: 11, large: 6, small: 3 });
-    let head = cluster.heads().into_iter().find(|head| cluster.members(head).len() == 6);
-    let Some(head) = head else { panic!("no open group with 6 members") };
-    if let Some(engine) = cluster.engines.get_mut(&head) {
-        engine.dead = true;
-    }
+    let head = cluster.head_of_size(6);
+    cluster.kill_engines(std::slice::from_ref(&head));
     assert!(cluster.run_until(SECOND * 6, |cluster| cluster.open_groups() < 2), "not noticed");
     for name in daemon_names() {
         cluster.kill(&name);
@@ -446,11 +449,7 @@
 fn engines_restarted_under_their_identity_join_groups_again() {
     let mut cluster = serving_cluster(2);
     let all: Vec<Name> = cluster.engines.keys().take(8).cloned().collect();
-    for id in &all {
-        if let Some(engine) = cluster.engines.get_mut(id) {
-            engine.dead = true;
-        }
-    }
+    cluster.kill_engines(&all);
     cluster.run(SECOND * 3);
     for id in &all {
         cluster.restart_engine(id);
@@ -540,9 +539,7 @@
     let leader = cluster.leader();
     let head = cluster.heads()[0].clone();
     let member = cluster.members(&head)[1].clone();
-    if let Some(engine) = cluster.engines.get_mut(&member) {
-        engine.dead = true;
-    }
+    cluster.kill_engines(std::slice::from_ref(&member));
     let mut lapses = 0;
     for _ in 0..20 {
         cluster.control_partitioned = true;
