testkit: no process starts while a port is checked

The suspected cause is now reproduced: a process that is being started holds all sockets of its parent until its program runs, among them the one with which another test thread has just checked a port; the daemon to which that port was assigned then can't listen on it.

Change: ports are checked, and processes started, under one lock.

--- a/crates/testkit/src/ports.rs
+++ b/crates/testkit/src/ports.rs
@@ -5,7 +5,7 @@
 //! one for as long as it runs, and assigns only the others of its own blocks.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// First port of the first block. All blocks lie below the system's ephemeral ports, so that no
 /// outgoing connection occupies a port before its daemon listens on it.
@@ -56,6 +56,7 @@
         while self.next < self.end {
             let address = loopback(self.next);
             self.next += 1;
+            let _no_process_starts = lock_descriptors();
             if TcpListener::bind(address).is_ok() {
                 return Some(address);
             }
@@ -64,6 +65,16 @@
     }
 }
 
+/// Held while a port is checked, and while a process is started: a process that is being started
+/// holds all sockets of this one until its program runs, so it would keep the checked port occupied.
+static DESCRIPTORS: Mutex<()> = Mutex::new(());
+
+/// Waits until no port is being checked and no process is being started, and keeps it that way
+/// until the guard is dropped.
+pub(crate) fn lock_descriptors() -> MutexGuard<'static, ()> {
+    DESCRIPTORS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Blocks claimed by this process; addresses are assigned from the last one.
 static BLOCKS: Mutex<Vec<Block>> = Mutex::new(Vec::new());
 
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -6,6 +6,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+use crate::ports::lock_descriptors;
+
 /// A child process. Dropping it kills it and waits for its end.
 #[derive(Debug)]
 pub struct Process {
@@ -25,6 +27,7 @@
         log: &Path,
     ) -> std::io::Result<Process> {
         let log = File::options().create(true).append(true).open(log)?;
+        let _no_port_is_checked = lock_descriptors();
         let child = Command::new(&program[0])
             .args(&program[1..])
             .args(arguments)
