--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -225,8 +225,9 @@
     pub document: Option<Vec<u8>>,
 }
 
-/// The messages that daemons send to one another.
-#[derive(Clone, PartialEq, Oneof)]
+/// The messages that daemons send to one another. Counters are named after them.
+#[derive(Clone, PartialEq, Oneof, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Body {
     /// First frame on a connection.
     #[prost(message, tag = "2")]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -154,7 +154,13 @@
         Rc::new(move |event| shell.handle_link_event(event))
     };
     let hello = Hello { daemon: daemon.to_string(), zone, control: true };
-    let links = Links::open(hello, config.link_address.port(), handler, executor.clone());
+    let links = Links::open(
+        hello,
+        config.link_address.port(),
+        handler,
+        shell.meter.clone(),
+        executor.clone(),
+    );
     *shell.links.borrow_mut() = Some(links.clone());
     shell.carry_out(effects);
     executor.spawn(links.listen(link_listener)).detach();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -142,7 +142,8 @@
         let shell = shell.clone();
         Rc::new(move |event| shell.handle_link_event(event))
     };
-    let links = Links::open(hello, config.link_port, handler, executor.clone());
+    let links =
+        Links::open(hello, config.link_port, handler, shell.meter.clone(), executor.clone());
     *shell.links.borrow_mut() = Some(links.clone());
     for seed in &config.seeds {
         links.dial(seed);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -10,14 +10,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dotterelhoist_fleet::journal as log_events;
 use dotterelhoist_fleet::message::{Body, Frame, Hello};
 use dotterelhoist_fleet::Name;
 use futures_lite::FutureExt;
+use prost::Message;
 use smol::channel::{bounded, Receiver, Sender};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
 use crate::http::{accept_all, within};
+use crate::journal;
+use crate::metrics::Meter;
 
 type Connection = dotterelhoist_wire::Connection<TcpStream, Frame>;
 
@@ -53,6 +57,22 @@
     Received(Name, Body),
 }
 
+/// Why a connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Ending {
+    /// Nothing has arrived within the silence timeout.
+    Silent,
+    /// The other side has closed the connection.
+    Closed,
+    /// Receiving has failed, or a frame did not decode.
+    ReceiveFailed,
+    /// Sending has failed.
+    SendFailed,
+    /// The send queue was full, or another connection to the same daemon has replaced this one.
+    QueueClosed,
+}
+
 /// Callback for events; called on the executor's thread.
 pub type Handler = Rc<dyn Fn(Event)>;
 
@@ -64,6 +84,7 @@
     /// Port at which control daemons accept connections of daemons.
     port: u16,
     handler: Handler,
+    meter: Meter,
     /// Send queues of the open connections, by the daemon at the other end.
     queues: Rc<RefCell<HashMap<Name, Sender<Body>>>>,
     /// Control daemons to which a task maintains a connection.
@@ -78,9 +99,11 @@
         hello: Hello,
         port: u16,
         handler: Handler,
+        meter: Meter,
         executor: Rc<smol::LocalExecutor<'static>>,
     ) -> Links {
-        Links { hello, port, handler, queues: Rc::default(), dialed: Rc::default(), executor }
+        let (queues, dialed) = Default::default();
+        Links { hello, port, handler, meter, queues, dialed, executor }
     }
 
     /// Queues a message body for a daemon. It is dropped if there is no connection to the daemon;
@@ -135,9 +158,10 @@
         self.queues.borrow_mut().insert(peer.clone(), sender.clone());
         (self.handler)(Event::OutgoingOpened(peer.clone()));
         let reading = self.read(&mut reader, peer, OUTGOING_SILENCE_TIMEOUT, None);
-        let writing = write(&mut writer, &queue);
+        let writing = self.write(&mut writer, &queue);
         let pinging = ping(&sender);
-        reading.or(writing).or(pinging).await;
+        let ending = reading.or(writing).or(pinging).await;
+        self.record_ending(peer, ending, reader.unfinished_bytes());
         self.remove_queue(peer, &sender);
         (self.handler)(Event::OutgoingClosed(peer.clone()));
     }
@@ -159,8 +183,9 @@
         }
         (self.handler)(Event::IncomingOpened(hello));
         let reading = self.read(&mut reader, &peer, INCOMING_SILENCE_TIMEOUT, Some(&sender));
-        let writing = write(&mut writer, &queue);
-        reading.or(writing).await;
+        let writing = self.write(&mut writer, &queue);
+        let ending = reading.or(writing).await;
+        self.record_ending(&peer, ending, reader.unfinished_bytes());
         if !control && self.remove_queue(&peer, &sender) {
             (self.handler)(Event::IncomingClosed(peer));
         }
@@ -186,9 +211,14 @@
         peer: &Name,
         timeout: Duration,
         pongs: Option<&Sender<Body>>,
-    ) {
+    ) -> Ending {
         loop {
-            let Some(Ok(Some(frame))) = within(timeout, reader.receive()).await else { return };
+            let frame = match within(timeout, reader.receive()).await {
+                Some(Ok(Some(frame))) => frame,
+                Some(Ok(None)) => return Ending::Closed,
+                Some(Err(_)) => return Ending::ReceiveFailed,
+                None => return Ending::Silent,
+            };
             match frame.body {
                 Some(Body::Ping(_)) => {
                     if let Some(pongs) = pongs {
@@ -200,32 +230,53 @@
             }
         }
     }
+
+    /// Sends the queued bodies, flushing whenever the queue is empty, until the connection fails or
+    /// the queue is closed.
+    async fn write(&self, writer: &mut Connection, queue: &Receiver<Body>) -> Ending {
+        while let Ok(body) = queue.recv().await {
+            if self.feed(writer, body).await.is_err() {
+                return Ending::SendFailed;
+            }
+            while let Ok(body) = queue.try_recv() {
+                if self.feed(writer, body).await.is_err() {
+                    return Ending::SendFailed;
+                }
+            }
+            if writer.flush().await.is_err() {
+                return Ending::SendFailed;
+            }
+        }
+        Ending::QueueClosed
+    }
+
+    /// Sends one body and counts its bytes.
+    async fn feed(
+        &self,
+        writer: &mut Connection,
+        body: Body,
+    ) -> Result<(), dotterelhoist_wire::Error> {
+        let kind: &'static str = (&body).into();
+        let frame = Frame { body: Some(body) };
+        self.meter.add(&format!("link.sent_bytes.{kind}"), frame.encoded_len());
+        writer.feed(&frame).await
+    }
+
+    /// Logs and counts the end of a connection. `unfinished_bytes` are those of a frame of which
+    /// only a part has arrived.
+    fn record_ending(&self, peer: &Name, ending: Ending, unfinished_bytes: usize) {
+        self.meter.count(&format!("link.ended.{ending}"));
+        let detail = format!("reason={ending} unfinished_bytes={unfinished_bytes}");
+        journal::write(&log_events::Event::new(321, "link ended", &**peer, detail));
+    }
 }
 
 /// Sends pings at regular intervals until the queue is full or closed.
-async fn ping(sender: &Sender<Body>) {
+async fn ping(sender: &Sender<Body>) -> Ending {
     loop {
         Timer::after(PING_INTERVAL).await;
         if sender.try_send(Body::Ping(true)).is_err() {
-            return;
-        }
-    }
-}
-
-/// Sends the queued bodies, flushing whenever the queue is empty, until the connection fails or the
-/// queue is closed.
-async fn write(writer: &mut Connection, queue: &Receiver<Body>) {
-    while let Ok(body) = queue.recv().await {
-        if writer.feed(&Frame { body: Some(body) }).await.is_err() {
-            return;
-        }
-        while let Ok(body) = queue.try_recv() {
-            if writer.feed(&Frame { body: Some(body) }).await.is_err() {
-                return;
-            }
-        }
-        if writer.flush().await.is_err() {
-            return;
+            return Ending::QueueClosed;
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,7 +75,12 @@
 
     /// Increments a counter by one.
     pub fn count(&self, name: &str) {
-        if let Err(error) = self.client.count(name, 1) {
+        self.add(name, 1);
+    }
+
+    /// Increases a counter by `amount`.
+    pub fn add(&self, name: &str, amount: usize) {
+        if let Err(error) = self.client.count(name, amount as u64) {
             log::debug!(r#"{{"code":301,"event":"metric lost","detail":"{error}"}}"#);
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -80,6 +80,11 @@
         Ok(SinkExt::<Bytes>::flush(&mut self.framed).await?)
     }
 
+    /// Bytes that have arrived of a frame that is not complete yet.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.framed.read_buffer().len()
+    }
+
     /// Receives the next frame; `None` once the peer has closed the connection.
     ///
     /// # Errors
