--- /dev/null
+++ b/crates/fleet/tests/distribution/main.rs
@@ -0,0 +1,65 @@
+//! Tests of the distribution of documents on links of limited bandwidth.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+mod network;
+
+use self::network::{document, Network, Shape};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time after its acknowledgement within which a document must be in force everywhere.
+const APPLY_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time within which a valid document must be acknowledged.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Six control daemons with 170 Mbit/s and 81 entry daemons with 20 Mbit/s.
+const LARGE: Shape = Shape {
+    control_daemons: 6,
+    entry_daemons: 81,
+    control_bandwidth: 170e6 / 8.0,
+    entry_bandwidth: 20e6 / 8.0,
+};
+
+/// A deployment in which a document with this many routes is in force.
+fn network_with(shape: Shape, routes: usize) -> Network {
+    let mut network = Network::open(shape);
+    network.run_until(SECOND * 3, |_| false);
+    let ticket = network.put(0, document(1, routes));
+    let in_force =
+        |network: &Network| network.accepted_at(ticket).is_some() && network.lagging(1) == 0;
+    assert!(
+        network.run_until(SECOND * 20, in_force),
+        "{} lag behind the first",
+        network.lagging(1)
+    );
+    network.run_until(SECOND * 3, |_| false);
+    network
+}
+
+/// A document that has grown must be in force everywhere in time, and so must the one that follows
+/// as soon as it is acknowledged.
+#[rstest]
+#[case::first(1400)]
+#[case::later(4200)]
+fn document_that_grew_is_in_force_everywhere_within_the_apply_timeout(#[case] routes: usize) {
+    let mut network = network_with(LARGE, routes - 1400);
+    let mut late = Vec::new();
+    for (control, version) in [(1, 2), (4, 3)] {
+        let ticket = network.put(control, document(version, routes));
+        let accepted = |network: &Network| network.accepted_at(ticket).is_some();
+        if !network.run_until(ACCEPT_TIMEOUT, accepted) {
+            late.push(format!("version {version} was not acknowledged in time"));
+            continue;
+        }
+        let acknowledged = network.now;
+        network.run_until(APPLY_TIMEOUT, |network| network.lagging(version) == 0);
+        if network.lagging(version) > 0 {
+            late.push(format!("version {version} is not in force on {}", network.lagging(version)));
+        }
+        let took = network.now.since(acknowledged).as_millis();
+        println!("version {version}: in force {took} ms later, {} bytes", network.sent_bytes);
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
--- /dev/null
+++ b/crates/fleet/tests/distribution/network.rs
@@ -0,0 +1,354 @@
+//! Simulation of control and entry daemons on links of limited bandwidth, without sockets or
+//! clocks.
+//!
+//! Each VM sends and receives one frame at a time, at the speed of its link; frames between two
+//! daemons arrive in the order in which they were sent. Connections never end.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use dotterelhoist_core::clock::Instant;
+use dotterelhoist_core::replica::message::Voter;
+use dotterelhoist_core::replica::{Identity, Stored};
+use dotterelhoist_fleet::control::planner::Times;
+use dotterelhoist_fleet::control::{self, Answer, Reader};
+use dotterelhoist_fleet::document::{Document, Draft, Finding};
+use dotterelhoist_fleet::entry;
+use dotterelhoist_fleet::message::{Body, Frame, Hello};
+use dotterelhoist_fleet::Name;
+use prost::Message;
+
+const TICK: Duration = Duration::from_millis(25);
+const LATENCY: Duration = Duration::from_micros(500);
+const SYNC_TIME: Duration = Duration::from_millis(5);
+
+/// Daemons and the bandwidth of their links.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub control_daemons: usize,
+    pub entry_daemons: usize,
+    /// Bytes per second that a control daemon can send, and as many that it can receive.
+    pub control_bandwidth: f64,
+    /// Bytes per second that an entry daemon can send, and as many that it can receive.
+    pub entry_bandwidth: f64,
+}
+
+/// Reads documents whose first line is a version number; the other lines are ignored.
+#[derive(Clone, Debug)]
+pub struct LineReader;
+
+impl Reader for LineReader {
+    fn read(&self, bytes: &[u8]) -> Result<Document, Vec<Finding>> {
+        let text = String::from_utf8_lossy(bytes);
+        let line = text.lines().next().unwrap_or_default();
+        let version = line.parse().map_err(|_| {
+            let place = "line 1".to_owned();
+            vec![Finding::Malformed { place, detail: line.to_owned() }]
+        })?;
+        Document::build(Draft { version, ..Draft::default() })
+    }
+}
+
+/// A document of [`LineReader`] with routes of random names, each of about 230 bytes.
+pub fn document(version: u64, routes: usize) -> Vec<u8> {
+    let mut state = 0x9e37_79b9_7f4a_7c15u64;
+    let mut random = || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        state
+    };
+    let mut text = format!("{version}\n");
+    for _ in 0..routes {
+        let (name, prefix) = (random() >> 24, random() >> 24);
+        text.push_str(&format!(
+            "{{\"name\":\"r-{name:x}\",\"host\":\"families.example\",\"path_prefix\":\"/{prefix:x}/\",\
+             \"route_type\":\"idempotent\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":1,\
+             \"service\":\"desk\",\"attempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}}\n"
+        ));
+    }
+    text.into_bytes()
+}
+
+/// What happens to a daemon.
+#[derive(Debug)]
+enum Occurrence {
+    Tick,
+    Received(Name, Body),
+    Connected(Hello),
+    Persisted(u64),
+}
+
+/// An occurrence in the order of time, then of its creation.
+#[derive(Debug)]
+struct Scheduled {
+    at: Instant,
+    number: u64,
+    daemon: Name,
+    occurrence: Occurrence,
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Scheduled {}
+
+/// The link of a VM.
+#[derive(Clone, Copy, Debug, Default)]
+struct Link {
+    /// When everything that was passed to it has been sent.
+    sent_at: Instant,
+    /// When everything that is on the way to it has been received.
+    received_at: Instant,
+}
+
+/// A deployment.
+pub struct Network {
+    shape: Shape,
+    pub now: Instant,
+    pub control: BTreeMap<Name, control::State<LineReader>>,
+    pub entry: BTreeMap<Name, entry::State<LineReader>>,
+    pub answers: BTreeMap<u64, (Instant, Answer)>,
+    /// Bytes of all frames sent so far.
+    pub sent_bytes: usize,
+    links: BTreeMap<Name, Link>,
+    schedule: BinaryHeap<Reverse<Scheduled>>,
+    last_number: u64,
+    last_ticket: u64,
+}
+
+impl Network {
+    /// Starts all daemons in three availability zones; every entry daemon connects to every control
+    /// daemon.
+    pub fn open(shape: Shape) -> Network {
+        let mut network = Network {
+            shape,
+            now: Instant::from_millis(3_600_000),
+            control: BTreeMap::new(),
+            entry: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            sent_bytes: 0,
+            links: BTreeMap::new(),
+            schedule: BinaryHeap::new(),
+            last_number: 0,
+            last_ticket: 0,
+        };
+        for index in 0..shape.control_daemons {
+            network.start_control(index);
+        }
+        for index in 0..shape.entry_daemons {
+            network.start_entry(index);
+        }
+        network
+    }
+
+    fn start_control(&mut self, index: usize) {
+        let name = control_name(index);
+        let names: Vec<Name> = (0..self.shape.control_daemons).map(control_name).collect();
+        let initial_voters = names.iter().take(3).map(|name| Voter {
+            replica: format!("{name}#0"),
+            daemon: name.to_string(),
+            weight: 1,
+        });
+        let second = Duration::from_secs(1);
+        let setup = control::Setup {
+            daemon: name.clone(),
+            zone: zone(index),
+            initial_voters: initial_voters.collect(),
+            seeds: names.clone(),
+            voter_count: 5,
+            times: Times { heartbeat_interval: second, stall_timeout: second * 4 },
+        };
+        let replica = format!("{name}#0").into();
+        let identity = Identity { replica, daemon: name.clone(), weight: 1, electable: true };
+        let mut effects = Vec::new();
+        let state = control::State::open(
+            setup,
+            LineReader,
+            identity,
+            Stored::default(),
+            self.now,
+            &mut effects,
+        );
+        self.control.insert(name.clone(), state);
+        self.carry_out_control(&name, effects);
+        self.after(TICK + Duration::from_millis(index as u64), &name, Occurrence::Tick);
+    }
+
+    fn start_entry(&mut self, index: usize) {
+        let name = entry_name(index);
+        let zone = zone(index);
+        let setup = entry::Setup {
+            daemon: name.clone(),
+            zone: zone.clone(),
+            retry_ratio: 0.1,
+            retry_slack: 40.0,
+        };
+        let state = entry::State::open(setup, LineReader, index as u64 + 1, self.now);
+        self.entry.insert(name.clone(), state);
+        for peer in (0..self.shape.control_daemons).map(control_name) {
+            let hello = Hello { daemon: name.to_string(), zone: zone.to_string(), control: false };
+            self.after(LATENCY, &peer, Occurrence::Connected(hello));
+            let hello = Hello { daemon: peer.to_string(), control: true, ..Hello::default() };
+            self.after(LATENCY, &name, Occurrence::Connected(hello));
+        }
+        self.after(TICK + Duration::from_micros(index as u64 * 300), &name, Occurrence::Tick);
+    }
+
+    /// Sends a document to a control daemon and returns the ticket of the call.
+    pub fn put(&mut self, index: usize, body: Vec<u8>) -> u64 {
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        self.apply_control(&control_name(index), control::Event::PutDocument { ticket, body });
+        ticket
+    }
+
+    /// Runs until `done` returns true or `span` is over; returns whether `done` returned true.
+    pub fn run_until<Done>(&mut self, span: Duration, done: Done) -> bool
+    where
+        Done: Fn(&Network) -> bool,
+    {
+        let end = self.now + span;
+        while self.schedule.peek().is_some_and(|next| next.0.at <= end) {
+            if done(self) {
+                return true;
+            }
+            let Some(Reverse(next)) = self.schedule.pop() else { break };
+            self.now = next.at;
+            self.process(next.daemon, next.occurrence);
+        }
+        self.now = end;
+        done(self)
+    }
+
+    /// When the call with this ticket was accepted; none if it was not.
+    pub fn accepted_at(&self, ticket: u64) -> Option<Instant> {
+        let (at, answer) = self.answers.get(&ticket)?;
+        (*answer == Answer::Accepted).then_some(*at)
+    }
+
+    /// Number of entry daemons with an older document than `version`.
+    pub fn lagging(&self, version: u64) -> usize {
+        let has = |state: &&entry::State<LineReader>| {
+            state.document().is_some_and(|document| document.version >= version)
+        };
+        self.entry.len() - self.entry.values().filter(has).count()
+    }
+
+    fn process(&mut self, daemon: Name, occurrence: Occurrence) {
+        if matches!(occurrence, Occurrence::Tick) {
+            self.after(TICK, &daemon, Occurrence::Tick);
+        }
+        if self.control.contains_key(&daemon) {
+            let random = self.last_number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+            let event = match occurrence {
+                Occurrence::Tick => control::Event::Tick { random },
+                Occurrence::Received(from, body) => control::Event::Received { from, body, random },
+                Occurrence::Connected(hello) => control::Event::Connected(hello),
+                Occurrence::Persisted(sequence) => control::Event::Persisted(sequence),
+            };
+            self.apply_control(&daemon, event);
+            return;
+        }
+        let event = match occurrence {
+            Occurrence::Tick => entry::Event::Tick,
+            Occurrence::Received(from, body) => entry::Event::Received(from, body),
+            Occurrence::Connected(hello) => entry::Event::Connected(hello.daemon.as_str().into()),
+            Occurrence::Persisted(_) => return,
+        };
+        let mut effects = Vec::new();
+        let Some(state) = self.entry.get_mut(&daemon) else { return };
+        state.apply(self.now, event, &mut effects);
+        for effect in effects {
+            if let entry::Effect::Send(to, body) = effect {
+                self.send(&daemon, to, body);
+            }
+        }
+    }
+
+    fn apply_control(&mut self, daemon: &Name, event: control::Event) {
+        let mut effects = Vec::new();
+        let Some(state) = self.control.get_mut(daemon) else { return };
+        state.apply(self.now, event, &mut effects);
+        self.carry_out_control(daemon, effects);
+    }
+
+    fn carry_out_control(&mut self, daemon: &Name, effects: Vec<control::Effect>) {
+        for effect in effects {
+            match effect {
+                control::Effect::Send(to, body) => self.send(daemon, to, body),
+                control::Effect::Persist(sequence, _) => {
+                    self.after(SYNC_TIME, daemon, Occurrence::Persisted(sequence));
+                }
+                control::Effect::Answer(ticket, answer) => {
+                    self.answers.insert(ticket, (self.now, answer));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Sends a frame. It leaves when the sender's link is free, and has arrived when the receiver's
+    /// link has received it after all earlier ones.
+    fn send(&mut self, from: &Name, to: Name, body: Body) {
+        let bytes = Frame { body: Some(body.clone()) }.encoded_len() + 4;
+        self.sent_bytes += bytes;
+        let (send_time, receive_time) = (self.transfer(from, bytes), self.transfer(&to, bytes));
+        let sender = self.links.entry(from.clone()).or_default();
+        let begun = sender.sent_at.max(self.now);
+        sender.sent_at = begun + send_time;
+        let sent_at = sender.sent_at;
+        let receiver = self.links.entry(to.clone()).or_default();
+        let received_at =
+            (receiver.received_at.max(begun + LATENCY) + receive_time).max(sent_at + LATENCY);
+        receiver.received_at = received_at;
+        self.at(received_at, &to, Occurrence::Received(from.clone(), body));
+    }
+
+    /// Time in which a daemon's link transfers this many bytes.
+    fn transfer(&self, daemon: &Name, bytes: usize) -> Duration {
+        let bandwidth = match self.control.contains_key(daemon) {
+            true => self.shape.control_bandwidth,
+            false => self.shape.entry_bandwidth,
+        };
+        Duration::from_secs_f64(bytes as f64 / bandwidth)
+    }
+
+    fn after(&mut self, span: Duration, daemon: &Name, occurrence: Occurrence) {
+        self.at(self.now + span, daemon, occurrence);
+    }
+
+    fn at(&mut self, at: Instant, daemon: &Name, occurrence: Occurrence) {
+        self.last_number += 1;
+        let number = self.last_number;
+        self.schedule.push(Reverse(Scheduled { at, number, daemon: daemon.clone(), occurrence }));
+    }
+}
+
+fn zone(index: usize) -> Name {
+    ["a", "b", "c"][index % 3].into()
+}
+
+fn control_name(index: usize) -> Name {
+    format!("10.{}.0.{}", index % 3, 1 + index / 3).into()
+}
+
+fn entry_name(index: usize) -> Name {
+    format!("10.{}.0.{}", index % 3, 100 + index / 3).into()
+}
