A connection on which a frame is arriving is not silent

Cause: a connection was closed when no complete frame had arrived for 1.4 s; a frame that took longer was cut off and sent again from the beginning, by six control daemons at once, so that no transfer ever ended.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -37,9 +37,12 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 /// Time between two pings, which the side that opened a connection sends.
 const PING_INTERVAL: Duration = Duration::from_millis(350);
-/// The side that opened a connection closes it if it has received nothing for this time.
+/// Checks for arrived bytes within each of the two timeouts that follow. A large message on a slow
+/// network may take longer than these; it must not be cut off and sent again.
+const SILENCE_CHECKS: u32 = 4;
+/// The side that opened a connection closes it if not one byte has arrived for this time.
 const OUTGOING_SILENCE_TIMEOUT: Duration = Duration::from_millis(1400);
-/// The side that accepted a connection closes it if it has received nothing for this time.
+/// The side that accepted a connection closes it if not one byte has arrived for this time.
 const INCOMING_SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
 
 /// What has happened on a connection.
@@ -213,11 +216,9 @@
         pongs: Option<&Sender<Body>>,
     ) -> Ending {
         loop {
-            let frame = match within(timeout, reader.receive()).await {
-                Some(Ok(Some(frame))) => frame,
-                Some(Ok(None)) => return Ending::Closed,
-                Some(Err(_)) => return Ending::ReceiveFailed,
-                None => return Ending::Silent,
+            let frame = match receive(reader, timeout).await {
+                Ok(frame) => frame,
+                Err(ending) => return ending,
             };
             match frame.body {
                 Some(Body::Ping(_)) => {
@@ -280,3 +281,22 @@
         }
     }
 }
+
+/// Receives the next frame, or fails once not one byte has arrived for `timeout`.
+async fn receive(reader: &mut Connection, timeout: Duration) -> Result<Frame, Ending> {
+    let mut arrived_bytes = reader.unfinished_bytes();
+    let mut silent_checks = 0;
+    while silent_checks < SILENCE_CHECKS {
+        match within(timeout / SILENCE_CHECKS, reader.receive()).await {
+            Some(Ok(Some(frame))) => return Ok(frame),
+            Some(Ok(None)) => return Err(Ending::Closed),
+            Some(Err(_)) => return Err(Ending::ReceiveFailed),
+            None if reader.unfinished_bytes() > arrived_bytes => {
+                arrived_bytes = reader.unfinished_bytes();
+                silent_checks = 0;
+            }
+            None => silent_checks += 1,
+        }
+    }
+    Err(Ending::Silent)
+}
