Entry daemons fetch the document, as the difference to the one that they have

Callers saw: changes not in force in time, changes without an acknowledgement, new routes answered 404. Cause: every control daemon sent every version whole to every entry daemon (after one second also those that were not selected), superseded ones included. Six copies of 1.2 MB for each of 81 links of 20 Mbit/s take longer than the time in which a change has to be in force, and the leader's heartbeats share the links of the control daemons with them.

Change: a status states the version, at once to the entry daemons that selected the control daemon; an entry daemon asks one control daemon at a time, another one after 1, 2, 4 and 8 s without an answer; the answer is the newest document, compressed with the older one as dictionary (zstd; a change of one route in 655 KB takes under 1 KB). What has been superseded is never sent.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -19,6 +19,7 @@
 use crate::journal;
 use crate::message::{AgedHeartbeat, Body, Heartbeats, Hello, Replication};
 use crate::order::{Order, Outcome};
+use crate::patch::Original;
 use crate::Name;
 
 pub mod distribution;
@@ -303,9 +304,6 @@
             }
         }
         self.process_outputs(effects);
-        if self.replica.is_up_to_date(now) {
-            self.send_documents(now, effects);
-        }
     }
 
     /// Whether this daemon leads with a valid lease.
@@ -391,6 +389,7 @@
                 }
             }
             Body::Report(report) => self.distributor.record_report(now, &from, report),
+            Body::Fetch(fetch) => self.send_document(from, &fetch, effects),
             Body::Call(call) => self.handle_forwarded_call(now, from, call, effects),
             Body::Reply(reply) => self.handle_forwarded_reply(reply, effects),
             _ => {}
@@ -555,6 +554,8 @@
                 return;
             }
         }
+        let original = Original { version: document.version, body: document.body.clone().into() };
+        self.distributor.set_document(original);
         let detail = format!("version={}", document.version);
         let event = journal::Event::new(222, "document in force", &*self.setup.daemon, detail);
         effects.push(Effect::Log(event));
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -1,7 +1,7 @@
 //! Messages between a control daemon and the entry daemons connected to it.
 //!
-//! Entry daemons receive the status of the control daemon and the document. Those that selected
-//! this control daemon also receive the view, which lists the endpoints that take requests, and the
+//! Entry daemons receive the status of the control daemon, which has the version of its document,
+//! and fetch the document. Those that selected this control daemon also receive the view, which lists the endpoints that take requests, and the
 //! loads of these endpoints. They send reports of their callers' demand, and of the progress,
 //! suspected failures and crashes of endpoints.
 
@@ -12,7 +12,9 @@
 
 use crate::crash::Crashes;
 use crate::endpoint::Stage;
-use crate::message::{Body, Document, Loads, Report, Status, Target, View};
+use crate::journal;
+use crate::message::{Body, Fetch, Loads, Report, Status, Target, View};
+use crate::patch::{self, Original, Patch};
 use crate::Name;
 
 use super::state_machine::{Group, Member};
@@ -22,12 +24,6 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two messages with the loads of all endpoints to an entry daemon.
 const LOADS_INTERVAL: Duration = Duration::from_millis(75);
-/// Number of connected entry daemons up to which a new document is sent to all of them at once.
-/// With more of them, it is first sent only to those that selected this control daemon.
-const DIRECT_ENTRY_DAEMONS_MAX: usize = 16;
-/// Time after which a new document is also sent to the entry daemons that selected another control
-/// daemon and have not reported its version.
-const DOCUMENT_FALLBACK_DELAY: Duration = Duration::from_millis(1000);
 /// Age of a report beyond which its running requests are left out of the loads, and its progress no
 /// longer proves that a group head is alive.
 const REPORT_TTL: Duration = Duration::from_secs(2);
@@ -50,8 +46,6 @@
     report: Report,
     /// When the last report arrived.
     reported_at: Instant,
-    /// Highest document version that it was sent or has reported.
-    document_version: u64,
     /// Sequence number of the last view that it was sent.
     view_sequence: u64,
     /// When the next status is sent.
@@ -102,16 +96,18 @@
     traffic: bool,
     /// Requests that may crash the endpoints that run them.
     crashes: Crashes,
-    /// Newest document that this daemon has applied.
-    document: AppliedDocument,
+    documents: Documents,
 }
 
-/// The newest document that this daemon has applied.
-#[derive(Clone, Copy, Debug, Default)]
-struct AppliedDocument {
-    version: u64,
-    /// When this daemon first found it applied.
-    since: Instant,
+/// The document in force, as it is sent to entry daemons.
+#[derive(Debug, Default)]
+struct Documents {
+    /// The document in force.
+    newest: Original,
+    /// The one before it, which most entry daemons have when they ask for the newest.
+    previous: Original,
+    /// Patches that were sent, by the version that each is the difference to.
+    patches: BTreeMap<u64, Patch>,
 }
 
 impl Distributor {
@@ -146,11 +142,23 @@
             self.crashes.record(*fingerprint, now);
         }
         self.traffic |= report.traffic;
-        subscriber.document_version = subscriber.document_version.max(report.version);
         subscriber.reported_at = now;
         subscriber.report = report;
     }
 
+    /// Replaces the document that is sent to entry daemons. Those that selected this daemon are told
+    /// of it with the next round of updates, the others when their next status is due.
+    pub(super) fn set_document(&mut self, document: Original) {
+        let documents = &mut self.documents;
+        documents.previous = std::mem::replace(&mut documents.newest, document);
+        documents.patches.clear();
+        for subscriber in self.subscribers.values_mut() {
+            if subscriber.report.selected {
+                subscriber.status_due = Instant::default();
+            }
+        }
+    }
+
     /// Average demand for each model.
     pub fn demand(&self) -> &Demands {
         &self.demand
@@ -190,35 +198,42 @@
     }
 }
 
+impl Documents {
+    /// The newest document for a receiver that has `version`.
+    fn patch(&mut self, version: u64) -> Result<Patch, patch::Error> {
+        let complete = Original::default();
+        let base = if version == self.previous.version { &self.previous } else { &complete };
+        if let Some(patch) = self.patches.get(&base.version) {
+            return Ok(patch.clone());
+        }
+        let patch = Patch::between(base, &self.newest)?;
+        self.patches.insert(base.version, patch.clone());
+        Ok(patch)
+    }
+}
+
 impl<Decoder> State<Decoder>
 where
     Decoder: Reader,
 {
-    /// Sends the document to each entry daemon that has an older one. With many entry daemons,
-    /// those that selected another control daemon are sent it only if they still lack it after
-    /// [`DOCUMENT_FALLBACK_DELAY`].
-    pub(super) fn send_documents(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let Some(document) = &self.state_machine.document else { return };
-        if self.distributor.document.version != document.version {
-            self.distributor.document = AppliedDocument { version: document.version, since: now };
+    /// Sends an entry daemon the newest document that this daemon has applied, as the difference to
+    /// the one that it has if that is the one before. Sends nothing if it has the newest.
+    pub(super) fn send_document(&mut self, to: Name, fetch: &Fetch, effects: &mut Vec<Effect>) {
+        if fetch.version >= self.distributor.documents.newest.version {
+            return;
         }
-        let sends_to_all = self.distributor.subscribers.len() <= DIRECT_ENTRY_DAEMONS_MAX;
-        let fallback_due = now.since(self.distributor.document.since) >= DOCUMENT_FALLBACK_DELAY;
-        for (daemon, subscriber) in &mut self.distributor.subscribers {
-            let due = sends_to_all || fallback_due || subscriber.report.selected;
-            if subscriber.document_version >= document.version || !due {
-                continue;
+        match self.distributor.documents.patch(fetch.version) {
+            Ok(patch) => effects.push(Effect::Send(to, Body::Document(patch))),
+            Err(error) => {
+                let event = journal::Event::new(205, "document not sent", &*to, error.to_string());
+                effects.push(Effect::Log(event));
             }
-            subscriber.document_version = document.version;
-            let message = Document { version: document.version, body: document.body.clone() };
-            effects.push(Effect::Send(daemon.clone(), Body::Document(message)));
         }
     }
 
-    /// Sends the document, status, view and loads to all entry daemons for which they are due.
+    /// Sends the status, view and loads to all entry daemons for which they are due.
     pub(super) fn send_updates(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.distributor.decay(now);
-        self.send_documents(now, effects);
         self.refresh_view(now);
         let status = self.status(now);
         let names: Vec<Name> = self.distributor.subscribers.keys().cloned().collect();
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -16,6 +16,7 @@
 use crate::document::{Access, Document, Route, Workspace};
 use crate::journal;
 use crate::message::{Body, Report, Running, Status};
+use crate::patch::Original;
 use crate::Name;
 
 pub mod budget;
@@ -23,12 +24,14 @@
 pub mod request;
 pub mod targets;
 
+mod fetching;
 mod serving;
 mod unsent;
 
 pub use self::request::{Attempt, Decision, End, Reason, Refusal, Request};
 
 use self::budget::Budget;
+use self::fetching::Transfer;
 use self::queue::Queue;
 use self::serving::Active;
 use self::targets::Targets;
@@ -114,6 +117,13 @@
     last_message: Instant,
 }
 
+impl Source {
+    /// Version of its document, 0 if it has none or has sent no status.
+    fn version(&self) -> u64 {
+        self.status.as_ref().map_or(0, |status| status.version)
+    }
+}
+
 /// The state of an entry daemon.
 #[derive(Debug)]
 pub struct State<Decoder> {
@@ -122,6 +132,10 @@
     reader: Decoder,
     /// Valid document with the highest version received so far.
     document: Option<Arc<Document>>,
+    /// The same document as the operator sent it.
+    original: Original,
+    /// Request for a newer document.
+    transfer: Option<Transfer>,
     /// Whether the document was at some time the newest one of a live leader, or the wait for such
     /// a confirmation has timed out. Requests are refused until then.
     confirmed: bool,
@@ -173,6 +187,8 @@
             setup,
             reader,
             document: None,
+            original: Original::default(),
+            transfer: None,
             confirmed: false,
             sources: BTreeMap::new(),
             selected: None,
@@ -271,7 +287,7 @@
         }
         match body {
             Body::Status(status) => self.apply_status(now, from, status, effects),
-            Body::Document(document) => self.apply_document(&document.body, effects),
+            Body::Document(patch) => self.apply_document(now, &patch, effects),
             Body::View(view) if self.selected.as_ref() == Some(&from) => {
                 self.targets.apply_view(view, now);
                 self.send_queued(now, effects);
@@ -310,28 +326,7 @@
             source.status = Some(status);
         }
         self.select_source(now, effects);
-    }
-
-    /// Replaces the document if the received one has a higher version; an invalid one is only
-    /// logged.
-    fn apply_document(&mut self, bytes: &[u8], effects: &mut Vec<Effect>) {
-        let document = match self.reader.read(bytes) {
-            Ok(document) => document,
-            Err(findings) => {
-                let detail = findings.first().map(ToString::to_string).unwrap_or_default();
-                let event = journal::Event::new(103, "document invalid", "control", detail);
-                effects.push(Effect::Log(event));
-                return;
-            }
-        };
-        let version = self.version();
-        if document.version <= version {
-            return;
-        }
-        let detail = format!("version={} before={version}", document.version);
-        let event = journal::Event::new(101, "document in force", &*self.setup.daemon, detail);
-        effects.push(Effect::Log(event));
-        self.document = Some(Arc::new(document));
+        self.fetch_document(now, effects);
     }
 
     /// Selects the control daemon whose view and loads are used. Of those heard from recently that
@@ -379,6 +374,7 @@
             effects.push(Effect::Log(event));
         }
         self.select_source(now, effects);
+        self.fetch_document(now, effects);
         if now.since(self.last_tick) > PAUSE_MIN {
             self.targets.restart_stall_timers(now);
         }
@@ -414,7 +410,6 @@
             selected: false,
             progress,
             crashed: std::mem::take(&mut self.unreported_crashes),
-            version: self.version(),
         };
         self.report_round += 1;
         let new_suspect = report.suspects.iter().any(|id| !self.reported_suspects.contains(id));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod journal;
 pub mod message;
 pub mod order;
+pub mod patch;
 
 pub use dotterelhoist_core::Name;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -4,6 +4,7 @@
 use prost::{Message, Oneof};
 
 use crate::endpoint::Heartbeat;
+use crate::patch::Patch;
 
 /// First frame on a connection; sent by the daemon that opened it.
 #[derive(Clone, PartialEq, Message)]
@@ -70,15 +71,13 @@
     pub crashing: Vec<u64>,
 }
 
-/// A configuration document, encoded as the operator sent it.
+/// Request of an entry daemon for the newest document of the receiver.
 #[derive(Clone, PartialEq, Message)]
-pub struct Document {
-    /// Version of the document.
+pub struct Fetch {
+    /// Version of the document that the sender has, to which the answer may be the difference; 0 if
+    /// the document is to be sent complete.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The document, byte for byte.
-    #[prost(bytes = "vec", tag = "2")]
-    pub body: Vec<u8>,
 }
 
 /// An endpoint that requests can be sent to: the head of a serving group, or a plain endpoint,
@@ -194,9 +193,6 @@
     /// loss is reported once.
     #[prost(fixed64, repeated, tag = "7")]
     pub crashed: Vec<u64>,
-    /// Version of the document that the sender uses, 0 if it has none.
-    #[prost(uint64, tag = "8")]
-    pub version: u64,
 }
 
 /// A call of an operator that a control daemon forwards to the leader.
@@ -241,9 +237,9 @@
     /// State of a control daemon.
     #[prost(message, tag = "5")]
     Status(Status),
-    /// A configuration document.
+    /// A configuration document; the answer to [`Fetch`].
     #[prost(message, tag = "6")]
-    Document(Document),
+    Document(Patch),
     /// Endpoints that requests can be sent to.
     #[prost(message, tag = "7")]
     View(View),
@@ -259,6 +255,9 @@
     /// The leader's reply to a forwarded call.
     #[prost(message, tag = "13")]
     Reply(Reply),
+    /// Request for the newest document.
+    #[prost(message, tag = "14")]
+    Fetch(Fetch),
     /// Keep-alive probe; answered by a pong.
     #[prost(bool, tag = "9")]
     Ping(bool),
@@ -271,6 +270,6 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
--- /dev/null
+++ b/crates/fleet/tests/entry/fetching.rs
@@ -0,0 +1,91 @@
+//! Transfer of the document to an entry daemon.
+
+use dotterelhoist_fleet::message::Fetch;
+
+use super::*;
+
+/// Statuses of both control daemons, with the versions of their documents.
+fn state_versions(harness: &mut Harness, selected: u64, unselected: u64) {
+    harness.status(selected, &[]);
+    harness.status_from(UNSELECTED_CONTROL, unselected);
+}
+
+/// A daemon with document 1 that is connected to two control daemons.
+fn connected() -> Harness {
+    let mut harness = Harness::open(TWO_GROUPS);
+    harness.apply(Event::Connected(UNSELECTED_CONTROL.into()));
+    state_versions(&mut harness, 1, 1);
+    harness.fetches.clear();
+    harness
+}
+
+fn fetch(from: &str, version: u64) -> (Name, Fetch) {
+    (from.into(), Fetch { version })
+}
+
+#[test]
+fn document_is_fetched_once_from_the_selected_control_daemon() {
+    let mut harness = connected();
+    state_versions(&mut harness, 2, 2);
+    harness.ticks(400);
+    state_versions(&mut harness, 3, 3);
+    harness.ticks(400);
+    assert_eq!(harness.fetches, [fetch(SELECTED_CONTROL, 1)]);
+}
+
+#[test]
+fn document_that_was_superseded_during_its_transfer_is_followed_by_the_newest() {
+    let mut harness = connected();
+    state_versions(&mut harness, 2, 2);
+    state_versions(&mut harness, 9, 9);
+    harness.receive(document(2));
+    assert_eq!(harness.fetches, [fetch(SELECTED_CONTROL, 1), fetch(SELECTED_CONTROL, 2)]);
+    harness.receive(document(9));
+    harness.ticks(2000);
+    assert_eq!(harness.fetches.len(), 2);
+}
+
+#[test]
+fn document_of_a_control_daemon_that_lags_is_fetched_from_another() {
+    let mut harness = connected();
+    state_versions(&mut harness, 1, 2);
+    assert_eq!(harness.fetches, [fetch(UNSELECTED_CONTROL, 1)]);
+}
+
+#[rstest]
+#[case::silent(false)]
+#[case::disconnected(true)]
+fn document_that_does_not_arrive_is_fetched_from_another(#[case] disconnected: bool) {
+    let mut harness = connected();
+    state_versions(&mut harness, 2, 2);
+    if disconnected {
+        harness.apply(Event::Disconnected(SELECTED_CONTROL.into()));
+        harness.ticks(25);
+    } else {
+        harness.ticks(950);
+        assert_eq!(harness.fetches.len(), 1, "another was asked too soon");
+        harness.ticks(100);
+    }
+    assert_eq!(harness.fetches, [fetch(SELECTED_CONTROL, 1), fetch(UNSELECTED_CONTROL, 1)]);
+}
+
+/// A transfer that takes longer than the first timeouts must not be joined by ever more copies.
+#[test]
+fn document_on_a_slow_network_is_fetched_less_and_less_often() {
+    let mut harness = connected();
+    state_versions(&mut harness, 2, 2);
+    harness.ticks(14_900);
+    assert_eq!(harness.fetches.len(), 4, "{:?}", harness.fetches);
+}
+
+#[test]
+fn document_that_is_the_difference_to_another_version_is_fetched_complete() {
+    let mut harness = connected();
+    state_versions(&mut harness, 9, 9);
+    let base = Original { version: 4, body: "4".into() };
+    let newest = Original { version: 9, body: "9".into() };
+    harness.receive(Body::Document(Patch::between(&base, &newest).expect("it can be compressed")));
+    assert_eq!(harness.state.document().map(|document| document.version), Some(1));
+    harness.ticks(1050);
+    assert_eq!(harness.fetches, [fetch(SELECTED_CONTROL, 1), fetch(UNSELECTED_CONTROL, 0)]);
+}
