The log and forwarded calls carry the document compressed, and each daemon decodes it once

Callers saw: a change that followed a large one had no answer.

Logs written before this change are not read.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -189,6 +189,12 @@
     state_machine: StateMachine,
     /// Decoded form of the newest replicated document that is valid; empty before the first.
     document: Arc<Document>,
+    /// The same document as the operator sent it.
+    original: Original,
+    /// Version of the newest replicated document that was decoded, or found invalid.
+    activated: u64,
+    /// The newest document that an operator has sent to this daemon, with its decoded form.
+    validated: Option<(Original, Arc<Document>)>,
     endpoints: endpoints::Table,
     planner: Planner,
     distributor: Distributor,
@@ -250,6 +256,9 @@
             replica,
             state_machine: StateMachine::default(),
             document: Arc::default(),
+            original: Original::default(),
+            activated: 0,
+            validated: None,
             endpoints: endpoints::Table::default(),
             control_daemons: BTreeSet::new(),
             reachability: Reachability::new(setup.zone.clone()),
@@ -292,9 +301,7 @@
             }
             Event::Heartbeat(heartbeat) => self.record_heartbeat(now, *heartbeat),
             Event::Deregistered(id) => self.deregister(now, &id),
-            Event::PutDocument { ticket, body } => {
-                self.handle_call(now, ticket, Some(body), effects)
-            }
+            Event::PutDocument { ticket, body } => self.handle_put(now, ticket, body, effects),
             Event::GetDocument { ticket } => self.handle_call(now, ticket, None, effects),
             Event::OrderFinished { ticket, outcome } => {
                 self.planner.record_outcome(now, ticket, outcome, &mut self.endpoints, effects);
@@ -494,6 +501,9 @@
             }
             self.compact();
         }
+        if self.state_machine.version() > self.activated {
+            self.activate_document(effects);
+        }
     }
 
     /// Turns one output of the replica into effects, or applies it to the replicated state.
@@ -520,11 +530,7 @@
         self.log_bytes += entry.command.len();
         let command = Command::decode(entry.command.as_slice()).unwrap_or_default();
         if let Some(change) = command.change {
-            let version = self.state_machine.version();
             self.state_machine.apply(entry.index, change);
-            if self.state_machine.version() != version {
-                self.activate_document(effects);
-            }
         }
         self.complete_write(entry.index, entry.term, effects);
     }
@@ -538,29 +544,45 @@
             return;
         };
         self.state_machine = state_machine;
-        self.activate_document(effects);
     }
 
-    /// Decodes the replicated document and puts it into force; keeps the previous one if it is
-    /// invalid.
+    /// Decodes the replicated document and puts it into force; keeps the decoded form of the
+    /// previous one if it is invalid.
     fn activate_document(&mut self, effects: &mut Vec<Effect>) {
-        let Some(document) = &self.state_machine.document else { return };
-        match self.reader.read(&document.body) {
-            Ok(document) => self.document = Arc::new(document),
+        let Some(patch) = self.state_machine.document.clone() else { return };
+        self.activated = patch.version;
+        let original = match patch.apply(&Original::default()) {
+            Ok(original) => original,
+            Err(error) => {
+                log_invalid_document(error.to_string(), effects);
+                return;
+            }
+        };
+        match self.decode_document(&original) {
+            Ok(document) => self.document = document,
             Err(findings) => {
                 let detail = findings.first().map(ToString::to_string).unwrap_or_default();
-                let event = journal::Event::new(203, "stored document invalid", "log", detail);
-                effects.push(Effect::Log(event));
-                return;
+                log_invalid_document(detail, effects);
             }
         }
-        let original = Original { version: document.version, body: document.body.clone().into() };
-        self.distributor.set_document(original);
-        let detail = format!("version={}", document.version);
+        self.distributor.set_document(original.clone());
+        let detail = format!("version={} stored_bytes={}", original.version, patch.encoded_len());
+        self.original = original;
         let event = journal::Event::new(222, "document in force", &*self.setup.daemon, detail);
         effects.push(Effect::Log(event));
     }
 
+    /// Decodes a document, unless that was done when an operator sent it to this daemon.
+    fn decode_document(&mut self, original: &Original) -> Result<Arc<Document>, Vec<Finding>> {
+        match self.validated.take() {
+            Some((validated, document)) if validated == *original => Ok(document),
+            other => {
+                self.validated = other;
+                self.reader.read(&original.body).map(Arc::new)
+            }
+        }
+    }
+
     /// Replaces the applied log entries by a snapshot once they exceed [`COMPACTION_ENTRIES`] or
     /// [`COMPACTION_BYTES`].
     fn compact(&mut self) {
@@ -572,3 +594,8 @@
         self.replica.compact(state_machine, &mut self.outputs);
     }
 }
+
+fn log_invalid_document(detail: String, effects: &mut Vec<Effect>) {
+    let event = journal::Event::new(203, "stored document invalid", "log", detail);
+    effects.push(Effect::Log(event));
+}
--- a/crates/fleet/src/control/operators.rs
+++ b/crates/fleet/src/control/operators.rs
@@ -4,15 +4,17 @@
 //! while it knows of no leader. It never answers from its own state, which may be older than a
 //! document that was already acknowledged.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
 
 use crate::journal;
 use crate::message::{Body, Call, Reply};
+use crate::patch::{Original, Patch};
 use crate::Name;
 
-use super::state_machine::{Change, StoredDocument};
+use super::state_machine::Change;
 use super::{Answer, Effect, Reader, State};
 
 /// Time for which a proposed document may wait for its commit; the call is then answered as
@@ -50,7 +52,7 @@
     /// Ticket of the operator's call, also used in the message to the leader.
     ticket: u64,
     /// Document to put; none to get the one in force.
-    body: Option<Vec<u8>>,
+    document: Option<Patch>,
     /// When the call arrived.
     since: Instant,
     /// Whether it was forwarded to a leader.
@@ -61,23 +63,49 @@
 where
     Decoder: Reader,
 {
-    /// Handles an operator's call to this daemon: `body` is a document to put, or none to get the
-    /// one in force. An invalid document is refused at once.
-    pub(super) fn handle_call(
+    /// Handles an operator's call to put a document. An invalid one is refused at once.
+    pub(super) fn handle_put(
         &mut self,
         now: Instant,
         ticket: u64,
-        body: Option<Vec<u8>>,
+        body: Vec<u8>,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(Err(findings)) = body.as_deref().map(|body| self.reader.read(body)) {
-            let detail = findings.first().map(ToString::to_string).unwrap_or_default();
-            let event = journal::Event::new(221, "document refused", "operator", detail);
-            effects.push(Effect::Log(event));
-            effects.push(Effect::Answer(ticket, Answer::Invalid(findings)));
-            return;
+        let document = match self.reader.read(&body) {
+            Ok(document) => document,
+            Err(findings) => {
+                let detail = findings.first().map(ToString::to_string).unwrap_or_default();
+                let event = journal::Event::new(221, "document refused", "operator", detail);
+                effects.push(Effect::Log(event));
+                effects.push(Effect::Answer(ticket, Answer::Invalid(findings)));
+                return;
+            }
+        };
+        let original = Original { version: document.version, body: body.into() };
+        match Patch::between(&Original::default(), &original) {
+            Ok(patch) => {
+                self.validated = Some((original, Arc::new(document)));
+                self.handle_call(now, ticket, Some(patch), effects);
+            }
+            Err(error) => {
+                let detail = error.to_string();
+                let event = journal::Event::new(206, "document not stored", "operator", detail);
+                effects.push(Effect::Log(event));
+                effects.push(Effect::Answer(ticket, Answer::Unavailable));
+            }
         }
-        self.pending_calls.push(PendingCall { ticket, body, since: now, forwarded: false });
+    }
+
+    /// Handles an operator's call to this daemon: `document` is one to put, or none to get the one
+    /// in force.
+    pub(super) fn handle_call(
+        &mut self,
+        now: Instant,
+        ticket: u64,
+        document: Option<Patch>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.pending_calls.push(PendingCall { ticket, document, since: now, forwarded: false });
         self.process_calls(now, effects);
     }
 
@@ -89,12 +117,8 @@
         let mut calls = std::mem::take(&mut self.pending_calls);
         calls.retain_mut(|call| {
             if leads && !call.forwarded {
-                self.answer_as_leader(
-                    now,
-                    Requester::Local(call.ticket),
-                    call.body.take(),
-                    effects,
-                );
+                let requester = Requester::Local(call.ticket);
+                self.answer_as_leader(now, requester, call.document.take(), 0, effects);
                 return false;
             }
             let timeout = if call.forwarded { FORWARD_TIMEOUT } else { LEADER_TIMEOUT };
@@ -104,7 +128,11 @@
             }
             if let Some(leader) = leader.as_ref().filter(|_| !call.forwarded) {
                 call.forwarded = true;
-                let request = Call { ticket: call.ticket, body: call.body.clone() };
+                let request = Call {
+                    ticket: call.ticket,
+                    document: call.document.clone(),
+                    version: self.original.version,
+                };
                 effects.push(Effect::Send(leader.clone(), Body::Call(request)));
             }
             true
@@ -125,7 +153,7 @@
             send_answer(requester, Answer::Unavailable, effects);
             return;
         }
-        self.answer_as_leader(now, requester, request.body, effects);
+        self.answer_as_leader(now, requester, request.document, request.version, effects);
     }
 
     /// Passes the leader's answer to a forwarded call on to the operator.
@@ -135,39 +163,48 @@
             return;
         };
         let call = self.pending_calls.remove(at);
-        let answer = match reply.document {
-            _ if !reply.answered => Answer::Unavailable,
-            Some(document) => Answer::Document(document),
-            None => Answer::Accepted,
+        let answer = if !reply.answered {
+            Answer::Unavailable
+        } else if call.document.is_some() {
+            Answer::Accepted
+        } else {
+            self.answer_to_read(reply.document)
         };
         effects.push(Effect::Answer(call.ticket, answer));
     }
 
+    /// Answer to an operator that reads the document: the one that the leader sent or, if it has
+    /// sent none, this daemon's own, which the leader has confirmed as the newest.
+    fn answer_to_read(&self, document: Option<Patch>) -> Answer {
+        let Some(patch) = document else {
+            return Answer::Document(self.original.body.to_vec());
+        };
+        match patch.apply(&Original::default()) {
+            Ok(original) => Answer::Document(original.body.to_vec()),
+            Err(_) => Answer::Unavailable,
+        }
+    }
+
     /// Answers a call as leader. A document with a higher version than the current one is proposed
     /// to the log and accepted once it is applied; any other is accepted without effect.
+    /// `known_version` is the version of the document of the daemon that sent the call.
     fn answer_as_leader(
         &mut self,
         now: Instant,
         requester: Requester,
-        body: Option<Vec<u8>>,
+        document: Option<Patch>,
+        known_version: u64,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(body) = body else {
-            let document = self.state_machine.document.as_ref();
-            let answer = document.map(|document| Answer::Document(document.body.clone()));
-            send_answer(requester, answer.unwrap_or(Answer::Unavailable), effects);
-            return;
-        };
-        let Ok(document) = self.reader.read(&body) else {
-            send_answer(requester, Answer::Unavailable, effects);
+        let Some(patch) = document else {
+            self.answer_read_as_leader(requester, known_version, effects);
             return;
         };
-        let version = document.version;
-        if version <= self.state_machine.version() {
+        if patch.version <= self.state_machine.version() {
             send_answer(requester, Answer::Accepted, effects);
             return;
         }
-        match self.propose(now, Change::SetDocument(StoredDocument { version, body })) {
+        match self.propose(now, Change::SetDocument(patch)) {
             Some(index) => {
                 let write = PendingWrite { requester, term: self.replica.term(), since: now };
                 self.pending_writes.insert(index, write);
@@ -176,6 +213,30 @@
         }
     }
 
+    /// Answers a call to read the document as leader.
+    fn answer_read_as_leader(
+        &self,
+        requester: Requester,
+        known_version: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(document) = &self.state_machine.document else {
+            send_answer(requester, Answer::Unavailable, effects);
+            return;
+        };
+        match requester {
+            Requester::Local(ticket) => {
+                let answer = self.answer_to_read(Some(document.clone()));
+                effects.push(Effect::Answer(ticket, answer));
+            }
+            Requester::Remote(daemon, ticket) => {
+                let document = (document.version != known_version).then(|| document.clone());
+                let reply = Reply { ticket, answered: true, document };
+                effects.push(Effect::Send(daemon, Body::Reply(reply)));
+            }
+        }
+    }
+
     /// Answers the call that proposed the log entry at `index`, now that an entry of `term` was
     /// applied there. If the terms differ, another leader's entry took its place.
     pub(super) fn complete_write(&mut self, index: u64, term: u64, effects: &mut Vec<Effect>) {
@@ -201,17 +262,12 @@
     }
 }
 
-/// Sends an answer to an operator's call, or to the daemon that forwarded the call.
+/// Sends the answer to an operator's call to put a document, or to the daemon that forwarded the call.
 fn send_answer(requester: Requester, answer: Answer, effects: &mut Vec<Effect>) {
     match requester {
         Requester::Local(ticket) => effects.push(Effect::Answer(ticket, answer)),
         Requester::Remote(daemon, ticket) => {
-            let answered = !matches!(answer, Answer::Unavailable | Answer::Invalid(_));
-            let document = match answer {
-                Answer::Document(document) => Some(document),
-                _ => None,
-            };
-            let reply = Reply { ticket, answered, document };
+            let reply = Reply { ticket, answered: answer == Answer::Accepted, document: None };
             effects.push(Effect::Send(daemon, Body::Reply(reply)));
         }
     }
--- a/crates/fleet/src/control/state_machine.rs
+++ b/crates/fleet/src/control/state_machine.rs
@@ -7,19 +7,9 @@
 
 use prost::{Message, Oneof};
 
+use crate::patch::Patch;
 use crate::Name;
 
-/// A configuration document as the operator sent it.
-#[derive(Clone, PartialEq, Message)]
-pub struct StoredDocument {
-    /// Version of the document.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
-    /// The document in the operators' format.
-    #[prost(bytes = "vec", tag = "2")]
-    pub body: Vec<u8>,
-}
-
 /// A member of a serving group.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Member {
@@ -63,8 +53,8 @@
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Change {
     /// Replaces the document if the version is higher than that of the current one.
-    #[prost(message, tag = "1")]
-    SetDocument(StoredDocument),
+    #[prost(message, tag = "6")]
+    SetDocument(Patch),
     /// Creates a group, unless one of its members already belongs to a group.
     #[prost(message, tag = "2")]
     CreateGroup(GroupPlacement),
@@ -84,7 +74,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Command {
     /// The change; none if the entry changes nothing.
-    #[prost(oneof = "Change", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Change", tags = "2, 3, 4, 5, 6")]
     pub change: Option<Change>,
 }
 
@@ -117,9 +107,9 @@
 /// The replicated state.
 #[derive(Clone, PartialEq, Message)]
 pub struct StateMachine {
-    /// Newest document; none before the first.
-    #[prost(message, optional, tag = "1")]
-    pub document: Option<StoredDocument>,
+    /// Newest document, compressed and complete by itself; none before the first.
+    #[prost(message, optional, tag = "4")]
+    pub document: Option<Patch>,
     /// Groups by name.
     #[prost(btree_map = "string, message", tag = "2")]
     pub groups: BTreeMap<String, Group>,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -201,9 +201,13 @@
     /// Correlation number chosen by the sender and echoed in the [`Reply`].
     #[prost(uint64, tag = "1")]
     pub ticket: u64,
-    /// The document to put in force; none to read the current one.
-    #[prost(bytes = "vec", optional, tag = "2")]
-    pub body: Option<Vec<u8>>,
+    /// The document to put in force, valid and complete by itself; none to read the current one.
+    #[prost(message, optional, tag = "3")]
+    pub document: Option<Patch>,
+    /// Version of the sender's document; if the current one is the same, the reply does not repeat
+    /// it.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
 }
 
 /// The leader's reply to a [`Call`].
@@ -216,9 +220,10 @@
     /// unavailable.
     #[prost(bool, tag = "2")]
     pub answered: bool,
-    /// The document in force, if the call was to read it.
-    #[prost(bytes = "vec", optional, tag = "3")]
-    pub document: Option<Vec<u8>>,
+    /// The document in force, complete by itself, if the call was to read it and the sender of the
+    /// call has another version.
+    #[prost(message, optional, tag = "4")]
+    pub document: Option<Patch>,
 }
 
 /// The messages that daemons send to one another. Counters are named after them.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -4,7 +4,9 @@
 //! Each step is 25 ms. Messages arrive one step later. Simulated engines execute orders according
 //! to the published protocol, and the simulation checks its invariants at each join and open.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -52,10 +54,13 @@
 #[derive(Clone, Debug)]
 pub struct VersionReader {
     shape: Shape,
+    /// Number of documents that were read.
+    reads: Rc<Cell<usize>>,
 }
 
 impl Reader for VersionReader {
     fn read(&self, bytes: &[u8]) -> Result<Document, Vec<Finding>> {
+        self.reads.set(self.reads.get() + 1);
         let text = String::from_utf8_lossy(bytes);
         let Ok(version) = text.parse() else {
             let place = "version".to_owned();
@@ -146,6 +151,8 @@
     pub documents_sent: Vec<(Name, Patch)>,
     /// Versions that were stated in a status, with the entry daemon that received each.
     pub versions_stated: Vec<(Name, u64)>,
+    /// Number of documents that the control daemons have read.
+    pub reads: Rc<Cell<usize>>,
     /// Events that control daemons receive in the next step.
     inbox: Vec<(Name, Event)>,
     /// Orders to execute later, and when.
@@ -183,6 +190,7 @@
             control_partitioned: false,
             documents_sent: Vec::new(),
             versions_stated: Vec::new(),
+            reads: Rc::default(),
             inbox: Vec::new(),
             delayed_orders: Vec::new(),
             seen_ready: BTreeSet::new(),
@@ -235,7 +243,7 @@
             Identity { replica: replica.into(), daemon: name.clone(), weight: 1, electable: true };
         let stored = self.disks.entry(name.clone()).or_default().clone();
         let mut effects = Vec::new();
-        let reader = VersionReader { shape: self.shape };
+        let reader = VersionReader { shape: self.shape, reads: self.reads.clone() };
         let state = State::open(setup, reader, identity, stored, self.now, &mut effects);
         self.daemons.insert(name.clone(), state);
         self.down.remove(name);
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -146,6 +146,35 @@
     assert!(older.is_empty(), "{older:?}");
 }
 
+/// A daemon that replays many documents must not decode each: with large ones, that would keep it
+/// from answering the leader for seconds.
+#[test]
+fn document_is_decoded_only_once_after_a_restart() {
+    let mut cluster = serving_cluster(1);
+    let (first, last) = (daemon_names()[0].clone(), daemon_names()[2].clone());
+    for version in 2..60 {
+        cluster.put(&first, &version.to_string());
+        cluster.run(Duration::from_millis(100));
+    }
+    cluster.run(SECOND);
+    cluster.kill(&last);
+    cluster.reads.set(0);
+    cluster.start(&last, &format!("{last}#0"));
+    cluster.run(SECOND * 3);
+    assert_eq!(cluster.daemons[&last].state_machine().version(), 59);
+    assert!(cluster.reads.get() <= 2, "{} documents were decoded", cluster.reads.get());
+}
+
+/// Each daemon decodes a new document once, also the one that the operator sent it to.
+#[test]
+fn document_is_decoded_once_by_each_daemon() {
+    let mut cluster = serving_cluster(1);
+    cluster.reads.set(0);
+    cluster.put(&daemon_names()[1], "2");
+    cluster.run(SECOND);
+    assert_eq!(cluster.reads.get(), daemon_names().len());
+}
+
 #[test]
 fn document_read_without_quorum_is_unavailable() {
     let mut cluster = serving_cluster(1);
--- a/crates/fleet/tests/distribution/main.rs
+++ b/crates/fleet/tests/distribution/main.rs
@@ -38,6 +38,25 @@
     network
 }
 
+/// What is sent for one change of one large document, to the voters of the log and to all entry
+/// daemons together, must be less than the document.
+#[test]
+fn document_with_one_change_costs_less_than_its_length_on_all_links_together() {
+    let mut network = network_with(LARGE, 4200);
+    let before = network.sent_bytes;
+    network.run_until(SECOND, |_| false);
+    let idle_bytes = network.sent_bytes - before;
+    let body = document(2, 4200);
+    let length = body.len();
+    let before = network.sent_bytes;
+    let ticket = network.put(4, body);
+    network.run_until(SECOND, |_| false);
+    assert!(network.accepted_at(ticket).is_some(), "not acknowledged within 1 s");
+    let bytes = (network.sent_bytes - before).saturating_sub(idle_bytes);
+    println!("{bytes} bytes for a document of {length}");
+    assert!(bytes < length, "{bytes} bytes for a document of {length}");
+}
+
 /// A document that has grown must be in force everywhere in time, and so must the one that follows
 /// as soon as it is acknowledged.
 #[rstest]
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dotterelhoist_fleet::message::{Body, Frame, Hello, Reply};
+use dotterelhoist_fleet::patch::Patch;
 use dotterelhoist_gateway::links::{Event, Links};
 use dotterelhoist_gateway::metrics::Meter;
 use smol::io::AsyncWriteExt;
@@ -42,7 +43,8 @@
         let links = Links::open(hello, port, handler, Meter::open("test"), executor.clone());
         links.dial(&"127.0.0.1".into());
         let (mut stream, _) = listener.accept().await.expect("the link connects");
-        let reply = Reply { ticket: 7, answered: true, document: Some(vec![b'x'; 1 << 16]) };
+        let document = Patch { difference: vec![b'x'; 1 << 16].into(), ..Patch::default() };
+        let reply = Reply { ticket: 7, answered: true, document: Some(document) };
         let payload = dotterelhoist_wire::encode(&Frame { body: Some(Body::Reply(reply)) });
         let mut bytes = (payload.len() as u32).to_be_bytes().to_vec();
         bytes.extend_from_slice(&payload);
