An entry daemon that knows of a newer document refuses what its own can't decide

Callers saw: 404 on routes that had been added seconds ago, and requests handled by an older configuration. Cause, beside the slow transfers: an entry daemon that lagged answered from its older document for as long as it lagged, although the status of its control daemons had told it that a newer one was in force.

Change: a status states how long the sender has had its document. Without a connection to a daemon that has a newer one it serves on.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -276,7 +276,7 @@
         for seed in state.setup.seeds.clone() {
             state.add_control_daemon(&seed, effects);
         }
-        state.process_outputs(effects);
+        state.process_outputs(now, effects);
         state
     }
 
@@ -310,7 +310,7 @@
                 self.record_probe(now, &id, heartbeat, refused, effects)
             }
         }
-        self.process_outputs(effects);
+        self.process_outputs(now, effects);
     }
 
     /// Whether this daemon leads with a valid lease.
@@ -332,7 +332,7 @@
     /// groups if this daemon is leader, and sends what is due to other daemons.
     fn tick(&mut self, now: Instant, random: u64, effects: &mut Vec<Effect>) {
         self.replica.tick(now, random, &mut self.outputs);
-        self.process_outputs(effects);
+        self.process_outputs(now, effects);
         self.expire_writes(now, effects);
         self.process_calls(now, effects);
         self.forward_heartbeats(now, effects);
@@ -369,7 +369,7 @@
             for change in changes {
                 self.propose(now, change);
             }
-            self.process_outputs(effects);
+            self.process_outputs(now, effects);
         }
         self.send_updates(now, effects);
     }
@@ -494,7 +494,7 @@
 
     /// Processes the outputs of the replica until there are no more, and compacts the log if it is
     /// due.
-    fn process_outputs(&mut self, effects: &mut Vec<Effect>) {
+    fn process_outputs(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         while !self.outputs.is_empty() {
             for output in std::mem::take(&mut self.outputs) {
                 self.process_output(output, effects);
@@ -502,7 +502,7 @@
             self.compact();
         }
         if self.state_machine.version() > self.activated {
-            self.activate_document(effects);
+            self.activate_document(now, effects);
         }
     }
 
@@ -548,7 +548,7 @@
 
     /// Decodes the replicated document and puts it into force; keeps the decoded form of the
     /// previous one if it is invalid.
-    fn activate_document(&mut self, effects: &mut Vec<Effect>) {
+    fn activate_document(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let Some(patch) = self.state_machine.document.clone() else { return };
         self.activated = patch.version;
         let original = match patch.apply(&Original::default()) {
@@ -565,7 +565,7 @@
                 log_invalid_document(detail, effects);
             }
         }
-        self.distributor.set_document(original.clone());
+        self.distributor.set_document(now, original.clone());
         let detail = format!("version={} stored_bytes={}", original.version, patch.encoded_len());
         self.original = original;
         let event = journal::Event::new(222, "document in force", &*self.setup.daemon, detail);
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -104,6 +104,8 @@
 struct Documents {
     /// The document in force.
     newest: Original,
+    /// When this daemon applied it.
+    applied_at: Instant,
     /// The one before it, which most entry daemons have when they ask for the newest.
     previous: Original,
     /// Patches that were sent, by the version that each is the difference to.
@@ -148,8 +150,9 @@
 
     /// Replaces the document that is sent to entry daemons. Those that selected this daemon are told
     /// of it with the next round of updates, the others when their next status is due.
-    pub(super) fn set_document(&mut self, document: Original) {
+    pub(super) fn set_document(&mut self, now: Instant, document: Original) {
         let documents = &mut self.documents;
+        documents.applied_at = now;
         documents.previous = std::mem::replace(&mut documents.newest, document);
         documents.patches.clear();
         for subscriber in self.subscribers.values_mut() {
@@ -284,6 +287,7 @@
             control_daemons: own.chain(&self.control_daemons).map(ToString::to_string).collect(),
             entry_daemons: self.distributor.subscribers.len() as u32,
             crashing: self.distributor.crashes.refused(),
+            document_age_ms: now.since(self.distributor.documents.applied_at).as_millis() as u32,
         }
     }
 
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -69,6 +69,9 @@
     /// Retries that all entry daemons together may send in a burst beyond that ratio, for each
     /// service.
     pub retry_slack: f64,
+    /// Time after the acknowledgement of a document from which no request may be handled by an
+    /// older one.
+    pub apply_timeout: Duration,
 }
 
 /// An event for an entry daemon.
@@ -115,6 +118,8 @@
     status: Option<Status>,
     /// When it last sent a message or, before the first, when it connected.
     last_message: Instant,
+    /// When it applied its document.
+    applied_at: Instant,
 }
 
 impl Source {
@@ -134,6 +139,8 @@
     document: Option<Arc<Document>>,
     /// The same document as the operator sent it.
     original: Original,
+    /// Since when a control daemon has had a newer document; none if none has.
+    behind_since: Option<Instant>,
     /// Request for a newer document.
     transfer: Option<Transfer>,
     /// Whether the document was at some time the newest one of a live leader, or the wait for such
@@ -188,6 +195,7 @@
             reader,
             document: None,
             original: Original::default(),
+            behind_since: None,
             transfer: None,
             confirmed: false,
             sources: BTreeMap::new(),
@@ -217,10 +225,12 @@
         match event {
             Event::Tick => self.tick(now, effects),
             Event::Connected(from) => {
-                self.sources.insert(from, Source { status: None, last_message: now });
+                let source = Source { status: None, last_message: now, applied_at: now };
+                self.sources.insert(from, source);
             }
             Event::Disconnected(from) => {
                 self.sources.remove(&from);
+                self.update_lag();
             }
             Event::Received(from, body) => self.receive(now, from, body, effects),
             Event::RequestArrived(request) => self.accept_request(now, *request, effects),
@@ -233,7 +243,7 @@
     /// Whether the daemon accepts requests of callers; reported to the load balancer's readiness
     /// check.
     pub fn is_ready(&self) -> bool {
-        self.has_confirmed_document() && !self.stopping
+        self.has_confirmed_document() && !self.stopping && !self.is_outdated(self.last_tick)
     }
 
     /// Whether a graceful shutdown was requested.
@@ -323,8 +333,10 @@
         let entry_daemons = f64::from(status.entry_daemons.max(1));
         self.budget.set_burst(self.setup.retry_slack * RETRY_SLACK_FACTOR / entry_daemons);
         if let Some(source) = self.sources.get_mut(&from) {
+            source.applied_at = now.before(Duration::from_millis(status.document_age_ms.into()));
             source.status = Some(status);
         }
+        self.update_lag();
         self.select_source(now, effects);
         self.fetch_document(now, effects);
     }
@@ -440,19 +452,28 @@
     }
 
     /// Finds the route and the workspace of a request, or the reason to refuse it.
-    fn resolve(&self, request: &Request) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Reason> {
+    fn resolve(
+        &self,
+        now: Instant,
+        request: &Request,
+    ) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Reason> {
         if self.crashing.contains(&request.fingerprint) {
             return Err(Reason::Crashing);
         }
         let Some(document) = self.document() else { return Err(Reason::Starting) };
+        if self.is_outdated(now) {
+            return Err(Reason::Outdated);
+        }
+        let unless_behind =
+            |reason| if self.behind_since.is_some() { Reason::Outdated } else { reason };
         let Some(route) = document.route(&request.host, &request.path) else {
-            return Err(Reason::NoRoute);
+            return Err(unless_behind(Reason::NoRoute));
         };
         match document.access(request.key.as_deref()) {
             Access::Workspace(workspace) => Ok((route.clone(), Some(workspace))),
             Access::Open => Ok((route.clone(), None)),
             Access::Denied if route.public => Ok((route.clone(), None)),
-            Access::Denied => Err(Reason::Unauthorized),
+            Access::Denied => Err(unless_behind(Reason::Unauthorized)),
         }
     }
 }
--- a/crates/fleet/src/entry/fetching.rs
+++ b/crates/fleet/src/entry/fetching.rs
@@ -23,6 +23,11 @@
 /// too slow for the document.
 const FETCH_TIMEOUT_MAX: Duration = Duration::from_secs(8);
 
+/// Part of [`Setup::apply_timeout`](super::Setup::apply_timeout), counted from when a control daemon
+/// applied a newer document, for which the older one is used. The rest covers the time until this
+/// daemon has learned of it.
+const OUTDATED_AFTER_FACTOR: f64 = 0.8;
+
 /// A request for the document that has not been answered.
 #[derive(Clone, Debug)]
 pub(super) struct Transfer {
@@ -63,6 +68,25 @@
         self.transfer = Some(Transfer { source, since: now, timeout, failed: false });
     }
 
+    /// Whether a control daemon has had a newer document for so long that this daemon's must no
+    /// longer be used.
+    pub(super) fn is_outdated(&self, now: Instant) -> bool {
+        let limit = self.setup.apply_timeout.mul_f64(OUTDATED_AFTER_FACTOR);
+        self.behind_since.is_some_and(|since| now.since(since) > limit)
+    }
+
+    /// Recomputes since when this daemon has lagged behind a control daemon. A document that is
+    /// superseded before it has arrived does not make this time start anew.
+    pub(super) fn update_lag(&mut self) {
+        let version = self.version();
+        let newer = self.sources.values().filter(|source| source.version() > version);
+        let oldest = newer.map(|source| source.applied_at).min();
+        self.behind_since = oldest.map(|oldest| match self.behind_since {
+            Some(since) => since.min(oldest),
+            None => oldest,
+        });
+    }
+
     /// The control daemon to ask for the document: one with a newer document than this daemon's,
     /// preferably not the one that was asked last, then the one that is selected, then one in the
     /// same subnet. None if there is no newer document.
@@ -116,6 +140,8 @@
         self.document = Some(Arc::new(document));
         self.original = original;
         self.transfer = None;
+        self.behind_since = None;
+        self.update_lag();
         self.fetch_document(now, effects);
     }
 }
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -78,6 +78,9 @@
 pub enum Reason {
     /// The daemon has no confirmed configuration yet.
     Starting,
+    /// A newer configuration is in force, and this daemon has not received it: the older one does
+    /// not allow the request, or is too old to be used at all.
+    Outdated,
     /// The daemon is about to stop.
     Stopping,
     /// No route matches the host and path.
@@ -111,7 +114,7 @@
     /// and will not run.
     pub fn status(self) -> u16 {
         match self {
-            Reason::Starting | Reason::Stopping | Reason::NoEndpoint => 503,
+            Reason::Starting | Reason::Outdated | Reason::Stopping | Reason::NoEndpoint => 503,
             Reason::Declined | Reason::Crashing => 503,
             Reason::QueueFull | Reason::TooLate => 429,
             Reason::NoRoute => 404,
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -19,6 +19,9 @@
 /// the request is refused after its service was chosen, the sum is capped at a quarter of the time
 /// until the caller's deadline.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(500);
+/// Delay after which the caller of a request that the daemon can't judge yet is told to retry,
+/// before jitter is added; a newer document normally arrives within it.
+const RETRY_AFTER_OUTDATED: Duration = Duration::from_millis(200);
 /// Part of the target latency for which a queued request can still meet it; afterwards, requests
 /// that can still meet theirs go first.
 const ON_TIME_FACTOR: f64 = 0.5;
@@ -79,11 +82,10 @@
         effects: &mut Vec<Effect>,
     ) {
         let id = request.id;
-        let (route, workspace) = match self.resolve(&request) {
+        let (route, workspace) = match self.resolve(now, &request) {
             Ok(found) => found,
             Err(reason) => {
-                let temporary = reason.status() == 503 && reason != Reason::Crashing;
-                let retry_after = temporary.then(|| self.retry_after_startup(now));
+                let retry_after = self.retry_after_unresolved(now, reason);
                 self.refuse(id, &request.request_id, Refusal { reason, retry_after }, effects);
                 return;
             }
@@ -391,6 +393,18 @@
         (RETRY_AFTER_DEFAULT + jitter).min(left / 4)
     }
 
+    /// Time after which a caller may retry whose request was refused before its service was chosen;
+    /// none if a retry is pointless.
+    fn retry_after_unresolved(&mut self, now: Instant, reason: Reason) -> Option<Duration> {
+        match reason {
+            Reason::Outdated => {
+                Some(RETRY_AFTER_OUTDATED + Duration::from_millis(self.next_random() % 100))
+            }
+            Reason::Starting => Some(self.retry_after_startup(now)),
+            _ => None,
+        }
+    }
+
     /// Time after which a caller may retry at a daemon that is not ready: when it will probably be
     /// ready. A random part spreads the retries.
     fn retry_after_startup(&mut self, now: Instant) -> Duration {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -69,6 +69,9 @@
     /// Fingerprints of requests to refuse, because the endpoints that ran them crashed repeatedly.
     #[prost(fixed64, repeated, tag = "5")]
     pub crashing: Vec<u64>,
+    /// Milliseconds since the sender applied its document.
+    #[prost(uint32, tag = "6")]
+    pub document_age_ms: u32,
 }
 
 /// Request of an entry daemon for the newest document of the receiver.
--- a/crates/fleet/tests/distribution/network.rs
+++ b/crates/fleet/tests/distribution/network.rs
@@ -199,6 +199,7 @@
             zone: zone.clone(),
             retry_ratio: 0.1,
             retry_slack: 40.0,
+            apply_timeout: Duration::from_millis(2500),
         };
         let state = entry::State::open(setup, LineReader, index as u64 + 1, self.now);
         self.entry.insert(name.clone(), state);
--- a/crates/fleet/tests/entry/fetching.rs
+++ b/crates/fleet/tests/entry/fetching.rs
@@ -89,3 +89,56 @@
     harness.ticks(1050);
     assert_eq!(harness.fetches, [fetch(SELECTED_CONTROL, 1), fetch(UNSELECTED_CONTROL, 0)]);
 }
+
+/// The refusal of a request, none if it was sent.
+fn refusal(harness: &mut Harness, id: u64, path: &str) -> Option<Refusal> {
+    harness.send(id, path);
+    match harness.last_decision(id) {
+        Some(Decision::Refuse(refusal)) => Some(refusal.clone()),
+        _ => None,
+    }
+}
+
+/// A route or key that is missing in an older document may exist in the newer one.
+#[test]
+fn request_that_an_older_document_does_not_allow_may_be_repeated_soon() {
+    let mut harness = connected();
+    assert_eq!(refusal(&mut harness, 1, "/new/x").map(|it| it.reason), Some(Reason::NoRoute));
+    state_versions(&mut harness, 2, 2);
+    let refused = refusal(&mut harness, 2, "/new/x").expect("the route is unknown");
+    assert_eq!(refused.reason, Reason::Outdated);
+    assert!(refused.retry_after.is_some_and(|after| after <= Duration::from_millis(300)));
+    assert_eq!(refusal(&mut harness, 3, "/read/x"), None);
+    harness.receive(document(2));
+    assert_eq!(refusal(&mut harness, 4, "/new/x").map(|it| it.reason), Some(Reason::NoRoute));
+}
+
+/// Versions that follow each other quickly must not prolong the use of an older one.
+#[test]
+fn request_is_refused_once_the_document_is_outdated() {
+    let mut harness = connected();
+    for version in 2..8 {
+        state_versions(&mut harness, version, version);
+        assert!(harness.state.is_ready());
+        assert_eq!(refusal(&mut harness, version, "/read/x"), None, "version {version}");
+        harness.ticks(275);
+    }
+    state_versions(&mut harness, 8, 8);
+    let refused = refusal(&mut harness, 8, "/read/x").map(|it| it.reason);
+    assert_eq!(refused, Some(Reason::Outdated));
+    assert!(!harness.state.is_ready());
+    harness.receive(document(8));
+    assert!(harness.state.is_ready());
+    assert_eq!(refusal(&mut harness, 9, "/read/x"), None);
+}
+
+/// A partitioned availability zone continues to serve with the document that it has.
+#[test]
+fn request_is_served_by_an_older_document_once_no_control_daemon_has_a_newer_one() {
+    let mut harness = connected();
+    state_versions(&mut harness, 1, 2);
+    harness.ticks(2000);
+    assert_eq!(refusal(&mut harness, 1, "/read/x").map(|it| it.reason), Some(Reason::Outdated));
+    harness.apply(Event::Disconnected(UNSELECTED_CONTROL.into()));
+    assert_eq!(refusal(&mut harness, 2, "/read/x"), None);
+}
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -127,6 +127,7 @@
             zone: "a".into(),
             retry_ratio: 0.1,
             retry_slack: 40.0,
+            apply_timeout: Duration::from_secs(2),
         };
         let state = State::open(setup, StubReader, seed, now);
         let (decisions, abandoned, reported_crashes, unselected_reports, fetches) =
@@ -203,6 +204,7 @@
             control_daemons: vec![SELECTED_CONTROL.to_owned()],
             entry_daemons: self.entry_daemons,
             crashing: crashing.to_vec(),
+            document_age_ms: 0,
         }
     }
 
