The difference between documents covers the whole older one

Cause: the compressor's index covered only the last megabyte of the older document, so that one changed route of 14,000 (3.3 MB) took 141,513 bytes. The test with a document of four megabytes failed before.

--- a/crates/fleet/src/patch.rs
+++ b/crates/fleet/src/patch.rs
@@ -18,6 +18,10 @@
 /// Binary logarithm of the longest window of the compressor, in bytes.
 const WINDOW_LOG_MAX: u32 = 27;
 
+/// Difference between the binary logarithms of the compressor's window and of its index, which
+/// otherwise covers only the last megabyte of the older document.
+const INDEX_LOG_DIFFERENCE: u32 = 3;
+
 /// A document as the operator sent it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Original {
@@ -84,7 +88,14 @@
         let mut compressor =
             Compressor::with_dictionary(LEVEL, &base.body).map_err(Error::Codec)?;
         let window = window_log(base.body.len() + document.body.len());
-        compressor.set_parameter(CParameter::WindowLog(window)).map_err(Error::Codec)?;
+        let parameters = [
+            CParameter::WindowLog(window),
+            CParameter::HashLog(window - INDEX_LOG_DIFFERENCE),
+            CParameter::ChainLog(window - INDEX_LOG_DIFFERENCE),
+        ];
+        for parameter in parameters {
+            compressor.set_parameter(parameter).map_err(Error::Codec)?;
+        }
         let difference = compressor.compress(&document.body).map_err(Error::Codec)?;
         Ok(Patch {
             version: document.version,
--- a/crates/fleet/tests/patch.rs
+++ b/crates/fleet/tests/patch.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use dotterelhoist_fleet::patch::{Original, Patch};
 use proptest::prelude::*;
+use rstest::rstest;
 
 /// A document of some kilobytes with random names.
 fn document(version: u64, names: &[u32]) -> Original {
@@ -49,9 +50,11 @@
     }
 }
 
-#[test]
-fn patch_of_a_large_document_with_one_change_is_small() {
-    let names: Vec<u32> = (0..30_000u64).map(|name| (name * 2_654_435 % 999_983) as u32).collect();
+#[rstest]
+#[case::one_megabyte(30_000)]
+#[case::four_megabytes(120_000)]
+fn patch_of_a_large_document_with_one_change_is_small(#[case] routes: u64) {
+    let names: Vec<u32> = (0..routes).map(|name| (name * 2_654_435 % 999_983) as u32).collect();
     let mut changed = names.clone();
     changed[20_000] += 1;
     let (base, newer) = (document(1, &names), document(2, &changed));
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -5,9 +5,11 @@
 //! - `path`: latency and throughput of one daemon,
 //! - `idle`: processor time and memory of daemons without requests,
 //! - `slopes`: how the cost of each kind of control work grows with the number of items,
+//! - `documents`: bytes and processor time of a change of the document on the users' platform,
 //! - `decisions`: policies compared with simpler ones, on a simulated clock.
 
 mod decisions;
+mod documents;
 mod idle;
 mod path;
 mod simulated;
@@ -27,8 +29,9 @@
         "idle" => smol::block_on(idle::measure()),
         "decisions" => decisions::measure(),
         "slopes" => slopes::measure(),
+        "documents" => documents::measure(),
         _ => {
-            println!("expected one argument: `path`, `idle`, `slopes` or `decisions`");
+            println!("expected one argument: `path`, `idle`, `slopes`, `documents` or `decisions`");
             return ExitCode::FAILURE;
         }
     }
--- a/examples/measure/slopes.rs
+++ b/examples/measure/slopes.rs
@@ -48,7 +48,7 @@
 
 /// Median of the microseconds that a call of `work` takes, divided by the `count` items that it
 /// handles.
-fn micros_per_item(count: usize, mut work: impl FnMut()) -> f64 {
+pub(crate) fn micros_per_item(count: usize, mut work: impl FnMut()) -> f64 {
     let mut samples = Vec::new();
     for _ in 0..REPETITIONS {
         let started = WallClock::now();
