--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -25,6 +25,7 @@
 pub mod targets;
 
 mod fetching;
+mod limits;
 mod serving;
 mod unsent;
 
@@ -89,6 +90,9 @@
     RequestArrived(Box<Request>),
     /// The attempt of the request with this id has ended.
     AttemptEnded(u64, End),
+    /// The head of a response has arrived from this endpoint, with the requests per second that it
+    /// takes from all entry daemons together; none if it stated no limit.
+    LimitStated(Name, Option<f64>),
     /// The caller of the request with this id has closed its connection.
     CallerGone(u64),
     /// A graceful shutdown was requested.
@@ -156,6 +160,8 @@
     queue: Queue,
     /// Retry budget.
     budget: Budget,
+    /// Requests per second that endpoints take from all entry daemons together, by identity.
+    limits: BTreeMap<Name, f64>,
     losses: Losses,
     /// Fingerprints of requests that have crashed endpoints, to be sent with the next report.
     unreported_crashes: Vec<u64>,
@@ -204,6 +210,7 @@
             requests: BTreeMap::new(),
             queue: Queue::default(),
             budget,
+            limits: BTreeMap::new(),
             losses: Losses::default(),
             unreported_crashes: Vec::new(),
             crashing: BTreeSet::new(),
@@ -235,6 +242,7 @@
             Event::Received(from, body) => self.receive(now, from, body, effects),
             Event::RequestArrived(request) => self.accept_request(now, *request, effects),
             Event::AttemptEnded(id, end) => self.end_attempt(now, id, end, effects),
+            Event::LimitStated(endpoint, limit) => self.record_limit(endpoint, limit, effects),
             Event::CallerGone(id) => self.cancel_request(now, id, effects),
             Event::Stop => self.stopping = true,
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -241,10 +241,12 @@
         }
     }
 
-    /// Records that the head of a response has arrived from the endpoint `target`, and the load
-    /// that its load header states, if any.
+    /// Records that the head of a response has arrived from the endpoint `target`, and the load and
+    /// the limit that its headers state, if any.
     pub(crate) fn record_response_head(&self, target: &Name, headers: &Headers) {
         let now = clock::now();
+        let limit = headers.find(Platform::HEADERS.limit).and_then(|limit| limit.parse().ok());
+        self.apply(Event::LimitStated(target.clone(), limit));
         let mut state = self.state.borrow_mut();
         state.record_progress(target, now);
         let Some(load) = headers.find(Platform::HEADERS.load) else { return };
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -28,6 +28,9 @@
     pub declined: &'static str,
     /// Running requests, waiting requests and slots of the endpoint, separated by commas.
     pub load: &'static str,
+    /// Requests per second that the endpoint takes from all entry daemons together, for as long as
+    /// its responses state it.
+    pub limit: &'static str,
     /// Id of the last event that the caller has received; the endpoint resumes the stream after it.
     pub last_event_id: &'static str,
 }
