--- a/crates/fleet/tests/distribution/main.rs
+++ b/crates/fleet/tests/deployment/documents.rs
@@ -1,30 +1,20 @@
-//! Tests of the distribution of documents on links of limited bandwidth.
+//! Distribution of documents on links of limited bandwidth.
 
 use std::time::Duration;
 
 use rstest::rstest;
 
-mod network;
+use crate::network::{document, Network};
+use crate::{LARGE, SECOND};
 
-use self::network::{document, Network, Shape};
-
-const SECOND: Duration = Duration::from_secs(1);
 /// Time after its acknowledgement within which a document must be in force everywhere.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time within which a valid document must be acknowledged.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Six control daemons with 170 Mbit/s and 81 entry daemons with 20 Mbit/s.
-const LARGE: Shape = Shape {
-    control_daemons: 6,
-    entry_daemons: 81,
-    control_bandwidth: 170e6 / 8.0,
-    entry_bandwidth: 20e6 / 8.0,
-};
-
 /// A deployment in which a document with this many routes is in force.
-fn network_with(shape: Shape, routes: usize) -> Network {
-    let mut network = Network::open(shape);
+fn network_with(routes: usize) -> Network {
+    let mut network = Network::open(LARGE);
     network.run_until(SECOND * 3, |_| false);
     let ticket = network.put(0, document(1, routes));
     let in_force =
@@ -42,7 +32,7 @@
 /// daemons together, must be less than the document.
 #[test]
 fn document_with_one_change_costs_less_than_its_length_on_all_links_together() {
-    let mut network = network_with(LARGE, 4200);
+    let mut network = network_with(4200);
     let before = network.sent_bytes;
     network.run_until(SECOND, |_| false);
     let idle_bytes = network.sent_bytes - before;
@@ -63,7 +53,7 @@
 #[case::first(1400)]
 #[case::later(4200)]
 fn document_that_grew_is_in_force_everywhere_within_the_apply_timeout(#[case] routes: usize) {
-    let mut network = network_with(LARGE, routes - 1400);
+    let mut network = network_with(routes - 1400);
     let mut late = Vec::new();
     for (control, version) in [(1, 2), (4, 3)] {
         let ticket = network.put(control, document(version, routes));
--- a/crates/fleet/tests/distribution/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -13,8 +13,9 @@
 use dotterelhoist_core::replica::{Identity, Stored};
 use dotterelhoist_fleet::control::planner::Times;
 use dotterelhoist_fleet::control::{self, Answer, Reader};
-use dotterelhoist_fleet::document::{Document, Draft, Finding};
-use dotterelhoist_fleet::entry;
+use dotterelhoist_fleet::document::{Document, Draft, Finding, Kind, Route, Service, Share};
+use dotterelhoist_fleet::endpoint::Heartbeat;
+use dotterelhoist_fleet::entry::{self, Attempt, Decision, End, Refusal, Request};
 use dotterelhoist_fleet::message::{Body, Frame, Hello};
 use dotterelhoist_fleet::Name;
 use prost::Message;
@@ -22,6 +23,13 @@
 const TICK: Duration = Duration::from_millis(25);
 const LATENCY: Duration = Duration::from_micros(500);
 const SYNC_TIME: Duration = Duration::from_millis(5);
+/// Time in which an endpoint runs a request.
+const RUN_TIME: Duration = Duration::from_millis(30);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
+/// Time for which callers wait.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(1500);
+const SERVICE: &str = "desk";
+const HOST: &str = "families.example";
 
 /// Daemons and the bandwidth of their links.
 #[derive(Clone, Copy, Debug)]
@@ -46,10 +54,42 @@
             let place = "line 1".to_owned();
             vec![Finding::Malformed { place, detail: line.to_owned() }]
         })?;
-        Document::build(Draft { version, ..Draft::default() })
+        let share = Share { service: SERVICE.into(), weight: 1 };
+        let route = Route {
+            name: "read".into(),
+            host: HOST.into(),
+            prefix: "/".into(),
+            kind: Kind::Idempotent,
+            timeout: Duration::from_secs(3),
+            target_latency: Duration::from_millis(300),
+            priority: 1,
+            split: [share].into_iter().collect(),
+            max_attempts: 2,
+            public: true,
+            resumable: false,
+            event_gap: None,
+        };
+        let service = Service { name: SERVICE.into(), max_connections: 99, engine: None };
+        let (routes, services) = (vec![route], vec![service]);
+        Document::build(Draft { version, routes, services, ..Draft::default() })
     }
 }
 
+/// A simulated endpoint. It answers each request after [`RUN_TIME`].
+#[derive(Debug, Default)]
+pub struct Endpoint {
+    /// Requests per second that it states to take from all entry daemons together.
+    pub limit: Option<f64>,
+    /// Requests that it got: when, and from which entry daemon.
+    pub arrivals: Vec<(Instant, Name)>,
+    /// When each entry daemon was first told a limit.
+    pub told: BTreeMap<Name, Instant>,
+    /// Heartbeats sent since its start.
+    sequence: u64,
+    /// Number of its starts.
+    starts: u64,
+}
+
 /// A document of [`LineReader`] with routes of random names, each of about 230 bytes.
 pub fn document(version: u64, routes: usize) -> Vec<u8> {
     let mut state = 0x9e37_79b9_7f4a_7c15u64;
@@ -78,6 +118,12 @@
     Received(Name, Body),
     Connected(Hello),
     Persisted(u64),
+    /// A caller sends a request.
+    Request(u64),
+    /// An endpoint has answered the request.
+    Answered(u64, Name),
+    /// The endpoint with this identity sends a heartbeat to the daemon.
+    Heartbeat(Name),
 }
 
 /// An occurrence in the order of time, then of its creation.
@@ -127,6 +173,13 @@
     pub answers: BTreeMap<u64, (Instant, Answer)>,
     /// Bytes of all frames sent so far.
     pub sent_bytes: usize,
+    pub endpoints: BTreeMap<Name, Endpoint>,
+    /// Refusals of requests, with the time from their arrival.
+    pub refusals: Vec<(Duration, Refusal)>,
+    /// Number of requests that were answered.
+    pub answered: usize,
+    /// When each request arrived that has no final response.
+    running: BTreeMap<u64, Instant>,
     links: BTreeMap<Name, Link>,
     schedule: BinaryHeap<Reverse<Scheduled>>,
     last_number: u64,
@@ -144,6 +197,10 @@
             entry: BTreeMap::new(),
             answers: BTreeMap::new(),
             sent_bytes: 0,
+            endpoints: BTreeMap::new(),
+            refusals: Vec::new(),
+            answered: 0,
+            running: BTreeMap::new(),
             links: BTreeMap::new(),
             schedule: BinaryHeap::new(),
             last_number: 0,
@@ -212,6 +269,29 @@
         self.after(TICK + Duration::from_micros(index as u64 * 300), &name, Occurrence::Tick);
     }
 
+    /// Starts an endpoint, or starts it again under its identity. It sends its heartbeats to the
+    /// first control daemon.
+    pub fn start_endpoint(&mut self, id: &str) {
+        let started_before = self.endpoints.contains_key(id);
+        let endpoint = self.endpoints.entry(id.into()).or_default();
+        endpoint.starts += 1;
+        endpoint.limit = None;
+        if !started_before {
+            self.after(Duration::ZERO, &control_name(0), Occurrence::Heartbeat(id.into()));
+        }
+    }
+
+    /// Sends `per_second` requests, one to each entry daemon in turn, for the time `span`.
+    pub fn send_requests(&mut self, per_second: u32, span: Duration) {
+        let interval = Duration::from_secs(1) / per_second;
+        let count = (span.as_secs_f64() * f64::from(per_second)) as u32;
+        for index in 0..count {
+            let daemon = entry_name(index as usize % self.shape.entry_daemons);
+            let number = self.last_number;
+            self.after(interval * index, &daemon, Occurrence::Request(number));
+        }
+    }
+
     /// Sends a document to a control daemon and returns the ticket of the call.
     pub fn put(&mut self, index: usize, body: Vec<u8>) -> u64 {
         self.last_ticket += 1;
@@ -263,6 +343,11 @@
                 Occurrence::Received(from, body) => control::Event::Received { from, body, random },
                 Occurrence::Connected(hello) => control::Event::Connected(hello),
                 Occurrence::Persisted(sequence) => control::Event::Persisted(sequence),
+                Occurrence::Heartbeat(id) => {
+                    self.after(HEARTBEAT_INTERVAL, &daemon, Occurrence::Heartbeat(id.clone()));
+                    control::Event::Heartbeat(Box::new(self.heartbeat(&id)))
+                }
+                Occurrence::Request(_) | Occurrence::Answered(..) => return,
             };
             self.apply_control(&daemon, event);
             return;
@@ -271,18 +356,67 @@
             Occurrence::Tick => entry::Event::Tick,
             Occurrence::Received(from, body) => entry::Event::Received(from, body),
             Occurrence::Connected(hello) => entry::Event::Connected(hello.daemon.as_str().into()),
-            Occurrence::Persisted(_) => return,
+            Occurrence::Request(id) => {
+                self.running.insert(id, self.now);
+                entry::Event::RequestArrived(Box::new(request(id, self.now)))
+            }
+            Occurrence::Answered(id, endpoint) => {
+                let limit = self.endpoints[&endpoint].limit;
+                if limit.is_some() {
+                    let told = &mut self.endpoints.get_mut(&endpoint).expect("it exists").told;
+                    told.entry(daemon.clone()).or_insert(self.now);
+                }
+                self.apply_entry(&daemon, entry::Event::LimitStated(endpoint, limit));
+                self.running.remove(&id);
+                self.answered += 1;
+                entry::Event::AttemptEnded(id, End::Answered)
+            }
+            Occurrence::Persisted(_) | Occurrence::Heartbeat(_) => return,
         };
+        self.apply_entry(&daemon, event);
+    }
+
+    fn apply_entry(&mut self, daemon: &Name, event: entry::Event) {
         let mut effects = Vec::new();
-        let Some(state) = self.entry.get_mut(&daemon) else { return };
+        let Some(state) = self.entry.get_mut(daemon) else { return };
         state.apply(self.now, event, &mut effects);
         for effect in effects {
-            if let entry::Effect::Send(to, body) = effect {
-                self.send(&daemon, to, body);
+            match effect {
+                entry::Effect::Send(to, body) => self.send(daemon, to, body),
+                entry::Effect::Decide(id, Decision::Send(attempt)) => self.run(daemon, id, attempt),
+                entry::Effect::Decide(id, Decision::Refuse(refusal)) => {
+                    if let Some(arrived_at) = self.running.remove(&id) {
+                        self.refusals.push((self.now.since(arrived_at), refusal));
+                    }
+                }
+                _ => {}
             }
         }
     }
 
+    /// Runs a request at an endpoint.
+    fn run(&mut self, daemon: &Name, id: u64, attempt: Attempt) {
+        if let Some(endpoint) = self.endpoints.get_mut(&attempt.target) {
+            endpoint.arrivals.push((self.now, daemon.clone()));
+            self.after(RUN_TIME, daemon, Occurrence::Answered(id, attempt.target));
+        }
+    }
+
+    fn heartbeat(&mut self, id: &Name) -> Heartbeat {
+        let endpoint = self.endpoints.get_mut(id).expect("it was started");
+        endpoint.sequence += 1;
+        Heartbeat {
+            id: id.to_string(),
+            service: SERVICE.into(),
+            address: format!("{id}:80"),
+            zone: "a".into(),
+            started_unix_ms: endpoint.starts,
+            sequence: endpoint.sequence,
+            slots: 6,
+            ..Heartbeat::default()
+        }
+    }
+
     fn apply_control(&mut self, daemon: &Name, event: control::Event) {
         let mut effects = Vec::new();
         let Some(state) = self.control.get_mut(daemon) else { return };
@@ -342,6 +476,21 @@
     }
 }
 
+fn request(id: u64, now: Instant) -> Request {
+    Request {
+        id,
+        request_id: format!("r{id}").into(),
+        host: HOST.into(),
+        path: "/x".into(),
+        key: None,
+        model: "".into(),
+        prompt_tokens: 0,
+        expected_output_tokens: 0,
+        fingerprint: id,
+        deadline: now + CALLER_TIMEOUT,
+    }
+}
+
 fn zone(index: usize) -> Name {
     ["a", "b", "c"][index % 3].into()
 }
