Requests to an endpoint with a limit need a slot that the leader assigns

Endpoints in need saw: up to 27 requests in 4 s where they had named 1.9 a second; each of seven entry daemons learned of the limit by its own requests, over 5.6 s, and none acted on it.

Change: limits that responses state are reported to all control daemons and listed with the loads. The leader divides the time of such an endpoint into slots of one request; an entry daemon needs one for each request there, retries and resumed streams included, and asks for as many as requests wait. The sum so depends neither on the number of entry daemons nor on which are connected. A request that no slot can serve in time is refused at once with the time until one may be free. Without a leader each daemon takes its equal share. No message where no limit is stated.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -24,6 +24,7 @@
 
 pub mod distribution;
 pub mod endpoints;
+pub mod limits;
 pub mod planner;
 pub mod reachability;
 pub mod state_machine;
@@ -31,6 +32,7 @@
 mod operators;
 
 use self::distribution::Distributor;
+use self::limits::Limits;
 use self::operators::{PendingCall, PendingWrite};
 use self::planner::Planner;
 use self::reachability::Reachability;
@@ -198,6 +200,8 @@
     endpoints: endpoints::Table,
     planner: Planner,
     distributor: Distributor,
+    /// Limits that endpoints state.
+    limits: Limits,
     /// All other control daemons that this one knows of and connects to.
     control_daemons: BTreeSet<Name>,
     reachability: Reachability,
@@ -252,6 +256,7 @@
         let mut state = State {
             planner: Planner::new(setup.times),
             distributor: Distributor::default(),
+            limits: Limits::default(),
             reader,
             replica,
             state_machine: StateMachine::default(),
@@ -337,6 +342,7 @@
         self.process_calls(now, effects);
         self.forward_heartbeats(now, effects);
         self.endpoints.remove_expired(now);
+        self.limits.expire(now, &self.endpoints);
         let leads = self.replica.can_serve_reads(now);
         if leads != self.leading {
             self.leading = leads;
@@ -395,7 +401,13 @@
                     self.endpoints.record_heartbeat(heartbeat, seen_at);
                 }
             }
-            Body::Report(report) => self.distributor.record_report(now, &from, report),
+            Body::Report(report) => {
+                for limit in &report.limits {
+                    self.limits.record(now, limit, &self.endpoints);
+                }
+                self.distributor.record_report(now, &from, report);
+            }
+            Body::Reserve(reserve) => self.assign_slot(now, from, &reserve, effects),
             Body::Fetch(fetch) => self.send_document(from, &fetch, effects),
             Body::Call(call) => self.handle_forwarded_call(now, from, call, effects),
             Body::Reply(reply) => self.handle_forwarded_reply(reply, effects),
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -287,6 +287,7 @@
             control_daemons: own.chain(&self.control_daemons).map(ToString::to_string).collect(),
             entry_daemons: self.distributor.subscribers.len() as u32,
             crashing: self.distributor.crashes.refused(),
+            leads: self.replica.leads(now),
             document_age_ms: now.since(self.distributor.documents.applied_at).as_millis() as u32,
         }
     }
@@ -300,6 +301,7 @@
             running: vec![0; count],
             own: vec![0; count],
             backlog: vec![0; count],
+            limits: self.limits.in_force(now),
         };
         let recent = |subscriber: &&Subscriber| now.since(subscriber.reported_at) <= REPORT_TTL;
         for subscriber in self.distributor.subscribers.values().filter(recent) {
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -33,7 +33,8 @@
 
 use self::budget::Budget;
 use self::fetching::Transfer;
-use self::queue::Queue;
+use self::limits::limit_list;
+use self::queue::{Queue, Requirement};
 use self::serving::Active;
 use self::targets::Targets;
 use self::unsent::{demand_list, Unsent, Workload};
@@ -160,8 +161,12 @@
     queue: Queue,
     /// Retry budget.
     budget: Budget,
-    /// Requests per second that endpoints take from all entry daemons together, by identity.
-    limits: BTreeMap<Name, f64>,
+    /// Whether the limit of an endpoint has changed since the last round of reports.
+    limits_changed: bool,
+    /// When a control daemon last stated that it leads.
+    leader_seen_at: Instant,
+    /// When the last request with each requirement arrived while endpoints had limits.
+    last_arrivals: BTreeMap<Requirement, Instant>,
     losses: Losses,
     /// Fingerprints of requests that have crashed endpoints, to be sent with the next report.
     unreported_crashes: Vec<u64>,
@@ -210,7 +215,9 @@
             requests: BTreeMap::new(),
             queue: Queue::default(),
             budget,
-            limits: BTreeMap::new(),
+            limits_changed: false,
+            leader_seen_at: now,
+            last_arrivals: BTreeMap::new(),
             losses: Losses::default(),
             unreported_crashes: Vec::new(),
             crashing: BTreeSet::new(),
@@ -242,7 +249,9 @@
             Event::Received(from, body) => self.receive(now, from, body, effects),
             Event::RequestArrived(request) => self.accept_request(now, *request, effects),
             Event::AttemptEnded(id, end) => self.end_attempt(now, id, end, effects),
-            Event::LimitStated(endpoint, limit) => self.record_limit(endpoint, limit, effects),
+            Event::LimitStated(endpoint, limit) => {
+                self.record_limit(now, &endpoint, limit, effects)
+            }
             Event::CallerGone(id) => self.cancel_request(now, id, effects),
             Event::Stop => self.stopping = true,
         }
@@ -311,9 +320,10 @@
                 self.send_queued(now, effects);
             }
             Body::Loads(loads) if self.selected.as_ref() == Some(&from) => {
-                self.targets.apply_loads(&loads);
+                self.targets.apply_loads(&loads, now);
                 self.send_queued(now, effects);
             }
+            Body::Slot(slot) => self.apply_slot(now, &slot, effects),
             _ => {}
         }
     }
@@ -405,6 +415,7 @@
             .extend(self.losses.take_crashed(now, |id| targets.has_probably_terminated(id, now)));
         self.refuse_expired(now, effects);
         self.send_queued(now, effects);
+        self.request_slots(now, effects);
         if now >= self.report_due {
             self.report_due = now + REPORT_INTERVAL;
             self.send_reports(now, effects);
@@ -417,7 +428,8 @@
     fn send_reports(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let demand = std::mem::take(&mut self.demand);
         let progress = self.targets.take_progress();
-        self.unsent.add(&demand, &progress);
+        let limits = self.targets.limits.take_unreported();
+        self.unsent.add(&demand, &progress, &limits);
         let report = Report {
             running: self
                 .targets
@@ -430,18 +442,20 @@
             selected: false,
             progress,
             crashed: std::mem::take(&mut self.unreported_crashes),
+            limits: limit_list(now, &limits),
         };
         self.report_round += 1;
         let new_suspect = report.suspects.iter().any(|id| !self.reported_suspects.contains(id));
         let due = self.report_round.is_multiple_of(self.rounds_per_report_to_all());
-        let all = due || new_suspect || !report.crashed.is_empty();
+        let new_limit = std::mem::take(&mut self.limits_changed);
+        let all = due || new_suspect || new_limit || !report.crashed.is_empty();
         self.reported_suspects.clone_from(&report.suspects);
         for name in self.sources.keys() {
             if self.selected.as_ref() == Some(name) {
                 let report = Report { selected: true, ..report.clone() };
                 effects.push(Effect::Send(name.clone(), Body::Report(report)));
             } else if all {
-                let report = self.unsent.fill_report(report.clone());
+                let report = self.unsent.fill_report(now, report.clone());
                 effects.push(Effect::Send(name.clone(), Body::Report(report)));
             }
         }
@@ -454,9 +468,13 @@
     /// grows with the number of entry daemons, so that the reports that one control daemon receives
     /// grow more slowly than the deployment.
     fn rounds_per_report_to_all(&self) -> u32 {
+        self.entry_daemons().div_ceil(ENTRY_DAEMONS_PER_ROUND)
+    }
+
+    /// Number of entry daemons, as far as the control daemons know.
+    fn entry_daemons(&self) -> u32 {
         let statuses = self.sources.values().filter_map(|source| source.status.as_ref());
-        let entry_daemons = statuses.map(|status| status.entry_daemons).max().unwrap_or(1);
-        entry_daemons.div_ceil(ENTRY_DAEMONS_PER_ROUND).max(1)
+        statuses.map(|status| status.entry_daemons).max().unwrap_or(1).max(1)
     }
 
     /// Finds the route and the workspace of a request, or the reason to refuse it.
--- a/crates/fleet/src/entry/queue.rs
+++ b/crates/fleet/src/entry/queue.rs
@@ -62,6 +62,16 @@
         on_time.or(queue.front()).map(|waiting| waiting.id)
     }
 
+    /// The requests with a requirement, in their order.
+    pub fn waiting(&self, requirement: &Requirement) -> Vec<Waiting> {
+        self.queues.get(requirement).into_iter().flatten().cloned().collect()
+    }
+
+    /// When the last of the requests with a requirement expires; none if there are none.
+    pub fn last_expiry(&self, requirement: &Requirement) -> Option<Instant> {
+        self.queues.get(requirement)?.iter().map(|waiting| waiting.expires).max()
+    }
+
     /// Removes a request.
     pub fn remove(&mut self, requirement: &Requirement, id: u64) {
         if let Some(queue) = self.queues.get_mut(requirement) {
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -97,6 +97,8 @@
     NoEndpoint,
     /// All endpoints are full, and so is the queue.
     QueueFull,
+    /// The limits of all endpoints bar the request for longer than it can wait.
+    Limited,
     /// No endpoint had a free slot within the queue timeout.
     TooLate,
     /// Endpoints declined to run it, and no further attempt is allowed or possible.
@@ -116,7 +118,7 @@
         match self {
             Reason::Starting | Reason::Outdated | Reason::Stopping | Reason::NoEndpoint => 503,
             Reason::Declined | Reason::Crashing => 503,
-            Reason::QueueFull | Reason::TooLate => 429,
+            Reason::QueueFull | Reason::Limited | Reason::TooLate => 429,
             Reason::NoRoute => 404,
             Reason::Unauthorized => 401,
             Reason::Malformed => 400,
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -101,8 +101,12 @@
         self.record_demand(&service, &request);
         let model = if self.has_models(&service) { request.model.clone() } else { "".into() };
         let deadline = request.deadline.min(now + route.timeout);
+        let requirement = (service, model);
+        if !self.targets.limits.is_empty() {
+            self.last_arrivals.insert(requirement.clone(), now);
+        }
         let active = Active {
-            requirement: (service, model),
+            requirement,
             route,
             workspace,
             deadline,
@@ -157,6 +161,8 @@
             workspace_priority.unwrap_or(active.route.priority)
         };
         self.queue.push(requirement, Waiting { id, priority, on_time_until, expires });
+        self.request_slots(now, effects);
+        self.refuse_unservable(now, effects);
     }
 
     /// Starts an attempt at the endpoint `target`.
@@ -374,12 +380,26 @@
     /// Ends a request with a refusal. A request that may have run is never refused with a reason
     /// that guarantees that it has not.
     fn refuse_active(&mut self, now: Instant, id: u64, reason: Reason, effects: &mut Vec<Effect>) {
+        let Some(active) = self.requests.get(&id) else { return };
+        let deadline = active.request.deadline;
+        let retry_after = self.retry_after_refusal(now, deadline);
+        self.refuse_after(id, reason, retry_after, effects);
+    }
+
+    /// Like [`State::refuse_active`], with the time after which the caller may retry if the request
+    /// has not run.
+    pub(super) fn refuse_after(
+        &mut self,
+        id: u64,
+        reason: Reason,
+        retry_after: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(active) = self.requests.remove(&id) else { return };
         self.queue.remove(&active.requirement, id);
         let possibly_run = active.may_have_run && reason != Reason::TimedOut;
         let reason = if possibly_run { Reason::Lost } else { reason };
-        let retry_after =
-            matches!(reason.status(), 429 | 503).then(|| self.retry_after_refusal(now, &active));
+        let retry_after = matches!(reason.status(), 429 | 503).then_some(retry_after);
         let request_id = active.request.request_id.clone();
         self.refuse(id, &request_id, Refusal { reason, retry_after }, effects);
     }
@@ -387,8 +407,8 @@
     /// Time after which the caller of a refused request may retry: [`RETRY_AFTER_DEFAULT`], which
     /// is long enough for the requests that are queued now to be served, and a random part that
     /// spreads the retries, but at most a quarter of the time that the caller still waits.
-    fn retry_after_refusal(&mut self, now: Instant, active: &Active) -> Duration {
-        let left = active.request.deadline.since(now);
+    fn retry_after_refusal(&mut self, now: Instant, deadline: Instant) -> Duration {
+        let left = deadline.since(now);
         let jitter = Duration::from_millis(self.next_random() % 300);
         (RETRY_AFTER_DEFAULT + jitter).min(left / 4)
     }
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -12,6 +12,7 @@
 use crate::message::{Loads, Target as Description, View};
 use crate::Name;
 
+use super::limits::{Limits, Outlook};
 use super::queue::Requirement;
 
 /// Lower bound of the time without any part of a response after which an endpoint counts as
@@ -110,6 +111,8 @@
     order: Vec<Name>,
     /// Endpoints by identity.
     targets: BTreeMap<Name, Target>,
+    /// Limits of endpoints, whether they are in the view or not.
+    pub(super) limits: Limits,
 }
 
 /// An endpoint that could be sent a request.
@@ -140,7 +143,13 @@
 impl Targets {
     /// Creates an empty set for an entry daemon in `zone`.
     pub fn new(zone: Name) -> Targets {
-        Targets { zone, sequence: 0, order: Vec::new(), targets: BTreeMap::new() }
+        Targets {
+            zone,
+            sequence: 0,
+            order: Vec::new(),
+            targets: BTreeMap::new(),
+            limits: Limits::default(),
+        }
     }
 
     /// Replaces the view. An endpoint that belongs to another group than before starts with a clean
@@ -172,8 +181,10 @@
         self.targets.retain(|_, target| target.in_view || target.running > 0);
     }
 
-    /// Updates the load by other entry daemons; loads that belong to another view are ignored.
-    pub fn apply_loads(&mut self, loads: &Loads) {
+    /// Updates the limits and the load by other entry daemons; loads that belong to another view
+    /// are ignored.
+    pub fn apply_loads(&mut self, loads: &Loads, now: Instant) {
+        self.limits.apply_list(now, &loads.limits);
         if loads.sequence != self.sequence {
             return;
         }
@@ -204,7 +215,7 @@
                 continue;
             }
             has_eligible = true;
-            if target.load() >= target.load_limit() {
+            if target.load() >= target.load_limit() || !self.limits.admits(id, now) {
                 continue;
             }
             let bits = scramble(random, index as u64);
@@ -213,7 +224,10 @@
                 if *target.description.zone == *self.zone { 0.0 } else { ZONE_PENALTY_TOKENS };
             let score = target.expected_wait_tokens() + jitter + zone_penalty;
             let is_group = !target.description.group.is_empty();
-            candidates.push(Candidate { id, score, rank: bits >> 8, is_group });
+            // A slot is lost if it is not used, so its group is always among those that are
+            // compared.
+            let rank = if self.limits.has_slot(id, now) { 0 } else { bits >> 8 };
+            candidates.push(Candidate { id, score, rank, is_group });
         }
         sample_groups(&mut candidates);
         let best = candidates.iter().min_by(|a, b| a.score.total_cmp(&b.score));
@@ -230,6 +244,22 @@
         serving.map(|target| target.description.slots).sum()
     }
 
+    /// The slots of the endpoints that meet a requirement; none if one of them has no limit, or if
+    /// there is none.
+    pub(super) fn outlook(&self, requirement: &Requirement, now: Instant) -> Option<Outlook> {
+        let usable = |target: &Target| target.meets(requirement) && now >= target.ejected_until;
+        let mut usable = self.targets.iter().filter(|(_, target)| usable(target)).peekable();
+        usable.peek()?;
+        usable.try_fold(Outlook::default(), |outlook, (id, _)| self.limits.extend(id, now, outlook))
+    }
+
+    /// What requests must require to be sent to an endpoint; none if it is not in the view.
+    pub(super) fn requirement(&self, id: &Name) -> Option<Requirement> {
+        let target = self.targets.get(id).filter(|target| target.in_view)?;
+        let description = &target.description;
+        Some((description.service.as_str().into(), description.model.as_str().into()))
+    }
+
     /// The endpoint with this identity.
     pub fn target(&self, id: &Name) -> Option<&Target> {
         self.targets.get(id)
@@ -237,6 +267,7 @@
 
     /// Records that a request was sent to an endpoint.
     pub fn record_send(&mut self, id: &Name, prompt_tokens: u32, now: Instant) {
+        self.limits.use_slot(id, now);
         let Some(target) = self.targets.get_mut(id) else { return };
         if target.running == 0 {
             target.last_progress = now;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -72,6 +72,50 @@
     /// Milliseconds since the sender applied its document.
     #[prost(uint32, tag = "6")]
     pub document_age_ms: u32,
+    /// Whether the sender leads, and assigns the slots of endpoints with a limit.
+    #[prost(bool, tag = "7")]
+    pub leads: bool,
+}
+
+/// What an entry daemon has observed of an endpoint's limit.
+#[derive(Clone, PartialEq, Message)]
+pub struct Limit {
+    /// Identity of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Requests per second that it takes from all entry daemons together; none if its newest
+    /// response stated no limit.
+    #[prost(double, optional, tag = "2")]
+    pub per_second: Option<f64>,
+    /// Milliseconds since the response that stated it.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// Request of an entry daemon for a slot of an endpoint with a limit: the permission to send it one
+/// request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Reserve {
+    /// Identity of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Milliseconds that the sender can wait for the slot to begin.
+    #[prost(uint32, tag = "2")]
+    pub wait_ms: u32,
+}
+
+/// Answer to [`Reserve`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Slot {
+    /// Identity of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Whether the slot is assigned to the receiver.
+    #[prost(bool, tag = "2")]
+    pub assigned: bool,
+    /// Milliseconds until the slot begins or, if it is not assigned, until there is a free one.
+    #[prost(uint32, tag = "3")]
+    pub after_ms: u32,
 }
 
 /// Request of an entry daemon for the newest document of the receiver.
@@ -137,6 +181,9 @@
     /// Prompt tokens of the requests of other entry daemons whose responses have not begun.
     #[prost(uint32, repeated, tag = "4")]
     pub backlog: Vec<u32>,
+    /// Limits in force, of any endpoints.
+    #[prost(message, repeated, tag = "5")]
+    pub limits: Vec<Limit>,
 }
 
 /// Requests of an entry daemon in flight at one endpoint.
@@ -196,6 +243,9 @@
     /// loss is reported once.
     #[prost(fixed64, repeated, tag = "7")]
     pub crashed: Vec<u64>,
+    /// Limits that responses have stated since the last report to the receiver.
+    #[prost(message, repeated, tag = "9")]
+    pub limits: Vec<Limit>,
 }
 
 /// A call of an operator that a control daemon forwards to the leader.
@@ -266,6 +316,12 @@
     /// Request for the newest document.
     #[prost(message, tag = "14")]
     Fetch(Fetch),
+    /// Request for a slot of an endpoint with a limit.
+    #[prost(message, tag = "15")]
+    Reserve(Reserve),
+    /// Answer to a request for a slot.
+    #[prost(message, tag = "16")]
+    Slot(Slot),
     /// Keep-alive probe; answered by a pong.
     #[prost(bool, tag = "9")]
     Ping(bool),
@@ -278,6 +334,6 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub body: Option<Body>,
 }
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -5,7 +5,7 @@
 //! daemons arrive in the order in which they were sent. Connections never end.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -178,6 +178,10 @@
     pub refusals: Vec<(Duration, Refusal)>,
     /// Number of requests that were answered.
     pub answered: usize,
+    /// Control daemons that are suspended; what is sent to them is lost.
+    pub down: BTreeSet<Name>,
+    /// Requests for slots that entry daemons have sent.
+    pub slot_requests: usize,
     /// When each request arrived that has no final response.
     running: BTreeMap<u64, Instant>,
     links: BTreeMap<Name, Link>,
@@ -200,6 +204,8 @@
             endpoints: BTreeMap::new(),
             refusals: Vec::new(),
             answered: 0,
+            down: BTreeSet::new(),
+            slot_requests: 0,
             running: BTreeMap::new(),
             links: BTreeMap::new(),
             schedule: BinaryHeap::new(),
@@ -318,6 +324,13 @@
         done(self)
     }
 
+    /// The control daemon that leads.
+    pub fn leader(&self) -> Option<Name> {
+        let running = self.control.iter().filter(|(name, _)| !self.down.contains(*name));
+        let mut leaders = running.filter(|(_, state)| state.leads(self.now));
+        leaders.next().map(|(name, _)| name.clone())
+    }
+
     /// When the call with this ticket was accepted; none if it was not.
     pub fn accepted_at(&self, ticket: u64) -> Option<Instant> {
         let (at, answer) = self.answers.get(&ticket)?;
@@ -336,6 +349,14 @@
         if matches!(occurrence, Occurrence::Tick) {
             self.after(TICK, &daemon, Occurrence::Tick);
         }
+        if self.down.contains(&daemon) {
+            if let Occurrence::Heartbeat(id) = occurrence {
+                let running = self.control.keys().find(|name| !self.down.contains(*name)).cloned();
+                let running = running.expect("a control daemon is running");
+                self.after(HEARTBEAT_INTERVAL, &running, Occurrence::Heartbeat(id));
+            }
+            return;
+        }
         if self.control.contains_key(&daemon) {
             let random = self.last_number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
             let event = match occurrence {
@@ -442,6 +463,10 @@
     /// Sends a frame. It leaves when the sender's link is free, and has arrived when the receiver's
     /// link has received it after all earlier ones.
     fn send(&mut self, from: &Name, to: Name, body: Body) {
+        if self.down.contains(from) || self.down.contains(&to) {
+            return;
+        }
+        self.slot_requests += usize::from(matches!(body, Body::Reserve(_)));
         let bytes = Frame { body: Some(body.clone()) }.encoded_len() + 4;
         self.sent_bytes += bytes;
         let (send_time, receive_time) = (self.transfer(from, bytes), self.transfer(&to, bytes));
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -205,6 +205,7 @@
             entry_daemons: self.entry_daemons,
             crashing: crashing.to_vec(),
             document_age_ms: 0,
+            leads: true,
         }
     }
 
--- a/crates/fleet/tests/entry/placing.rs
+++ b/crates/fleet/tests/entry/placing.rs
@@ -92,7 +92,8 @@
             let counts = |own: bool| GROUPS.iter().map(|(id, ..)| count(id, own)).collect();
             let (running, own): (Vec<u32>, Vec<u32>) = (counts(false), counts(true));
             let others = running.iter().zip(&own).map(|(all, own)| (all - own) * PROMPT_TOKENS);
-            let loads = Loads { sequence: 1, backlog: others.collect(), running, own };
+            let limits = Vec::new();
+            let loads = Loads { sequence: 1, backlog: others.collect(), running, own, limits };
             self.daemons[daemon].receive(Body::Loads(loads));
         }
     }
