--- a/crates/fleet/src/control/limits.rs
+++ b/crates/fleet/src/control/limits.rs
@@ -11,15 +11,13 @@
 
 use dotterelhoist_core::clock::Instant;
 
+use crate::limit::slot_length;
 use crate::message::{Body, Limit, Reserve, Slot};
 use crate::Name;
 
 use super::endpoints::Table;
 use super::{Effect, State};
 
-/// Requests per second that an endpoint is assumed to take if it states fewer, so that its next
-/// limit, or the end of the limit, is noticed.
-const RATE_MIN: f64 = 0.1;
 /// Time for which the end of a limit is remembered; observations from before it arrive within it.
 const ENDED_TTL: Duration = Duration::from_secs(10);
 /// Time after which an entry daemon that asked a daemon which does not lead may ask again.
@@ -127,8 +125,3 @@
         effects.push(Effect::Send(to, Body::Slot(slot)));
     }
 }
-
-/// Time for each request of an endpoint that takes this many per second.
-fn slot_length(per_second: f64) -> Duration {
-    Duration::from_secs_f64(1.0 / per_second.max(RATE_MIN))
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod journal;
+pub mod limit;
 pub mod message;
 pub mod order;
 pub mod patch;
