A control daemon that connects is told the limits that an entry daemon knows; 421 says nothing about a limit

A response with status 421 may come from another endpoint at the same address and ended the limit. Change: all known limits, with their ages, go into the first report after a connection; 421 is not read.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -239,6 +239,8 @@
             Event::Connected(from) => {
                 let source = Source { status: None, last_message: now, applied_at: now };
                 self.sources.insert(from, source);
+                self.limits_changed |= !self.targets.limits.is_empty();
+                self.targets.limits.report_all();
             }
             Event::Disconnected(from) => {
                 self.sources.remove(&from);
--- a/crates/fleet/src/entry/limits.rs
+++ b/crates/fleet/src/entry/limits.rs
@@ -160,6 +160,14 @@
         });
     }
 
+    /// Includes all limits in the next report, for a control daemon that may know none of them.
+    pub(super) fn report_all(&mut self) {
+        for (id, known) in self.known.iter().filter(|(_, known)| known.per_second.is_some()) {
+            let Known { per_second, observed_at: at, .. } = *known;
+            self.unreported.entry(id.clone()).or_insert(Observation { per_second, at });
+        }
+    }
+
     /// Returns the observations since the last call.
     pub(super) fn take_unreported(&mut self) -> Observations {
         std::mem::take(&mut self.unreported)
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -19,6 +19,7 @@
 use rstest::rstest;
 
 mod fetching;
+mod limits;
 mod placing;
 
 const SELECTED_CONTROL: &str = "10.0.0.9";
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock;
-use crate::http::{accept_all, within, Connection, Error, Headers, RequestHead};
+use crate::http::{accept_all, within, Connection, Error, RequestHead, ResponseHead};
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
 use crate::metrics::{serve as serve_metrics, Meter};
@@ -242,11 +242,15 @@
     }
 
     /// Records that the head of a response has arrived from the endpoint `target`, and the load and
-    /// the limit that its headers state, if any.
-    pub(crate) fn record_response_head(&self, target: &Name, headers: &Headers) {
+    /// the limit that its headers state, if any. A response with status 421 may come from another
+    /// endpoint at the same address, so it says nothing about the limit.
+    pub(crate) fn record_response_head(&self, target: &Name, head: &ResponseHead) {
         let now = clock::now();
-        let limit = headers.find(Platform::HEADERS.limit).and_then(|limit| limit.parse().ok());
-        self.apply(Event::LimitStated(target.clone(), limit));
+        let headers = &head.headers;
+        if head.status != 421 {
+            let limit = headers.find(Platform::HEADERS.limit).and_then(|limit| limit.parse().ok());
+            self.apply(Event::LimitStated(target.clone(), limit));
+        }
         let mut state = self.state.borrow_mut();
         state.record_progress(target, now);
         let Some(load) = headers.find(Platform::HEADERS.load) else { return };
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -132,7 +132,7 @@
             Ok(head) => head,
             Err(_) => return End::Lost { open: true, broken: true },
         };
-        shell.record_response_head(&attempt.target, &head.headers);
+        shell.record_response_head(&attempt.target, &head);
         let headers = &head.headers;
         let echoed = headers.find(Platform::HEADERS.request_id);
         let declined = headers.find(Platform::HEADERS.declined).is_some() || head.status == 421;
