A request for a slot states the limit, which the leader may not know yet

Found by the new test with real processes: after the first response with a limit the next request was sent at once, without a slot. Cause: the request for the slot reached the leader before the report of the limit (75 ms), and the leader assigns a slot at once where it knows no limit. Change: the request carries the limit with its age. request_beyond_the_limit_of_the_only_endpoint_is_refused_with_the_time_to_retry failed before (200 instead of 429) and passes; document_that_grows_and_changes_is_in_force_and_read_back (3,000 routes, real processes) passes on both.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -404,7 +404,7 @@
                 }
                 self.distributor.record_report(now, &from, report);
             }
-            Body::Reserve(reserve) => self.assign_slot(now, from, &reserve, effects),
+            Body::Reserve(reserve) => self.assign_slot(now, from, reserve, effects),
             Body::Fetch(fetch) => self.send_document(from, &fetch, effects),
             Body::Call(call) => self.handle_forwarded_call(now, from, call, effects),
             Body::Reply(reply) => self.handle_forwarded_reply(reply, effects),
--- a/crates/fleet/src/control/applying.rs
+++ b/crates/fleet/src/control/applying.rs
@@ -128,6 +128,7 @@
     }
 }
 
+/// Logs that the document of the log can't be put into force.
 fn log_invalid_document(detail: String, effects: &mut Vec<Effect>) {
     let event = journal::Event::new(203, "stored document invalid", "log", detail);
     effects.push(Effect::Log(event));
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -1,9 +1,9 @@
 //! Messages between a control daemon and the entry daemons connected to it.
 //!
 //! Entry daemons receive the status of the control daemon, which has the version of its document,
-//! and fetch the document. Those that selected this control daemon also receive the view, which lists the endpoints that take requests, and the
-//! loads of these endpoints. They send reports of their callers' demand, and of the progress,
-//! suspected failures and crashes of endpoints.
+//! and fetch the document. Those that selected this control daemon also receive the view, which
+//! lists the endpoints that take requests, and the loads of these endpoints. They send reports of
+//! their callers' demand, and of the progress, suspected failures and crashes of endpoints.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
--- a/crates/fleet/src/control/limits.rs
+++ b/crates/fleet/src/control/limits.rs
@@ -87,11 +87,9 @@
         limits.collect()
     }
 
-    /// Assigns the next free slot of an endpoint if it begins within the time that the sender can
-    /// wait.
-    fn reserve(&mut self, now: Instant, reserve: &Reserve) -> Slot {
-        let id = reserve.id.clone();
-        let known = self.known.get_mut(reserve.id.as_str());
+    /// Assigns the next free slot of an endpoint if it begins within `max_wait`.
+    fn reserve(&mut self, now: Instant, id: String, max_wait: Duration) -> Slot {
+        let known = self.known.get_mut(id.as_str());
         let Some((known, rate)) =
             known.and_then(|known| known.per_second.map(|rate| (known, rate)))
         else {
@@ -99,7 +97,7 @@
         };
         known.next_slot = known.next_slot.max(now);
         let wait = known.next_slot.since(now);
-        let assigned = wait <= Duration::from_millis(reserve.wait_ms.into());
+        let assigned = wait <= max_wait;
         if assigned {
             known.next_slot = known.next_slot + slot_length(rate);
         }
@@ -113,14 +111,17 @@
         &mut self,
         now: Instant,
         to: Name,
-        reserve: &Reserve,
+        reserve: Reserve,
         effects: &mut Vec<Effect>,
     ) {
+        let Some(limit) = reserve.limit else { return };
+        self.limits.record(now, &limit, &self.endpoints);
         let slot = if self.replica.leads(now) {
-            self.limits.reserve(now, reserve)
+            let max_wait = Duration::from_millis(reserve.wait_ms.into());
+            self.limits.reserve(now, limit.id, max_wait)
         } else {
             let after_ms = NOT_LEADER_DELAY.as_millis() as u32;
-            Slot { id: reserve.id.clone(), assigned: false, after_ms }
+            Slot { id: limit.id, assigned: false, after_ms }
         };
         effects.push(Effect::Send(to, Body::Slot(slot)));
     }
--- a/crates/fleet/src/entry/limits.rs
+++ b/crates/fleet/src/entry/limits.rs
@@ -49,6 +49,14 @@
     at: Instant,
 }
 
+impl Observation {
+    /// The observation in the form used in messages.
+    fn describe(self, now: Instant, id: &Name) -> Limit {
+        let age_ms = now.since(self.at).as_millis() as u32;
+        Limit { id: id.to_string(), per_second: self.per_second, age_ms }
+    }
+}
+
 /// Observations by endpoint.
 pub(super) type Observations = BTreeMap<Name, Observation>;
 
@@ -233,6 +241,12 @@
         }
     }
 
+    /// What is known of an endpoint's limit, in the form used in messages.
+    pub(super) fn describe(&self, now: Instant, id: &Name) -> Option<Limit> {
+        let Known { per_second, observed_at: at, .. } = *self.known.get(id)?;
+        Some(Observation { per_second, at }.describe(now, id))
+    }
+
     /// Endpoints with a limit.
     pub(super) fn limited(&self) -> Vec<Name> {
         let limited = self.known.iter().filter(|(_, known)| known.per_second.is_some());
@@ -265,10 +279,5 @@
 
 /// Converts observations to the form used in reports.
 pub(super) fn limit_list(now: Instant, observations: &Observations) -> Vec<Limit> {
-    let limits = observations.iter().map(|(id, observation)| Limit {
-        id: id.to_string(),
-        per_second: observation.per_second,
-        age_ms: now.since(observation.at).as_millis() as u32,
-    });
-    limits.collect()
+    observations.iter().map(|(id, observation)| observation.describe(now, id)).collect()
 }
--- a/crates/fleet/src/entry/slots.rs
+++ b/crates/fleet/src/entry/slots.rs
@@ -67,7 +67,8 @@
             if let Some(leader) = &leader {
                 self.targets.limits.record_request(now, &id);
                 let wait_ms = usable_until.since(now).as_millis() as u32;
-                let reserve = Reserve { id: id.to_string(), wait_ms };
+                let limit = self.targets.limits.describe(now, &id);
+                let reserve = Reserve { limit, wait_ms };
                 effects.push(Effect::Send(leader.clone(), Body::Reserve(reserve)));
             } else if is_leaderless {
                 let random = (self.next_random() % 1000) as f64 / 1000.0;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -96,9 +96,9 @@
 /// request.
 #[derive(Clone, PartialEq, Message)]
 pub struct Reserve {
-    /// Identity of the endpoint.
-    #[prost(string, tag = "1")]
-    pub id: String,
+    /// The limit as the sender knows it; the receiver may not know of it yet.
+    #[prost(message, optional, tag = "1")]
+    pub limit: Option<Limit>,
     /// Milliseconds that the sender can wait for the slot to begin.
     #[prost(uint32, tag = "2")]
     pub wait_ms: u32,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -26,7 +26,9 @@
             0 => deployment.stream(&id, None),
             _ => deployment.book(&id),
         };
-        let Some(Reply { status: 200, id: response_id, sealed, body }) = reply else { continue };
+        let Some(Reply { status: 200, id: response_id, sealed, body, .. }) = reply else {
+            continue;
+        };
         assert_eq!(
             response_id.as_deref(),
             Some(id.as_str()),
@@ -82,3 +84,34 @@
     assert_eq!((reply.status, deployment::event_ids(&reply.body).len()), (200, 5));
     assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
 }
+
+/// A document of half a megabyte, and one that follows with another route, come into force on the
+/// entry daemon and can be read from a control daemon.
+#[test]
+fn document_that_grows_and_changes_is_in_force_and_read_back() {
+    let deployment = Deployment::start();
+    for (version, routes) in [(8, 3000), (9, 3001)] {
+        deployment.put_with_routes(version, routes);
+        let path = format!("/more{}/x", routes - 1);
+        let served = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+            let reply = deployment.book_at(&deployment.unique_label(), &path)?;
+            (reply.status == 200).then_some(())
+        });
+        assert!(served.is_some(), "the last route of version {version} is not served");
+        assert_eq!(deployment.read_version(), Some(version));
+    }
+}
+
+/// The only endpoint of a service takes one request in ten seconds: the next one is refused, with
+/// the time until there is room.
+#[test]
+fn request_beyond_the_limit_of_the_only_endpoint_is_refused_with_the_time_to_retry() {
+    let deployment = Deployment::start();
+    deployment.set_limit(0.1);
+    let told = deployment.book("a1").expect("a complete response");
+    assert_eq!(told.status, 200);
+    let refused = deployment.book("a3").expect("a complete response");
+    assert_eq!((refused.status, refused.sealed), (429, false));
+    let retry_after = refused.retry_after.expect("the refusal states when to retry");
+    assert!((1.0..=10.0).contains(&retry_after), "{retry_after} s");
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -12,7 +12,7 @@
 use smol::net::TcpStream;
 use tempfile::TempDir;
 
-use crate::engine::{Engine, Handle, Runs};
+use crate::engine::{Engine, Handle, Limit, Runs};
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
@@ -25,6 +25,8 @@
 const BOOK_PATH: &str = "/book/x";
 /// API key of the tenant.
 const API_KEY: &str = "key-of-families";
+/// Longest body of a response.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// Time after which a request without a complete response counts as failed.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after which a test fails if a deployment has not reached the expected state.
@@ -38,6 +40,8 @@
     pub status: u16,
     /// Request id that the response names.
     pub id: Option<String>,
+    /// Seconds after which the caller may retry.
+    pub retry_after: Option<f64>,
     /// Whether the response has the `Dotterelhoist-Response-Seal` header, which an endpoint sets.
     pub sealed: bool,
     pub body: String,
@@ -57,6 +61,8 @@
     engines: Vec<Option<Handle>>,
     /// How often the engines have run each request.
     runs: Runs,
+    /// Limit that the plain service states.
+    limit: Limit,
     /// Number of labels that [`Deployment::unique_label`] has returned.
     label_count: AtomicU64,
 }
@@ -86,6 +92,7 @@
             entry: None,
             engines: Vec::new(),
             runs: Runs::default(),
+            limit: Limit::default(),
             label_count: AtomicU64::new(0),
         };
         for index in 0..CONTROL_DAEMONS {
@@ -100,6 +107,7 @@
                 service,
                 control_addresses: deployment.control_addresses(),
                 runs: deployment.runs.clone(),
+                limit: deployment.limit.clone(),
             };
             deployment.engines.push(Some(engine.start()));
         }
@@ -171,10 +179,21 @@
         None
     }
 
+    /// Makes the plain service state a limit on its requests per second.
+    pub fn set_limit(&self, limit: f64) {
+        *self.limit.lock().expect("no thread panics while it holds the lock") = Some(limit);
+    }
+
     /// Puts a configuration document with this version and waits until a control daemon
     /// acknowledges it.
     pub fn put(&self, version: u64) {
-        let body = document(version).to_string();
+        self.put_with_routes(version, 0);
+    }
+
+    /// Like [`Deployment::put`], with `count` further routes to the plain service, whose prefixes are
+    /// `/more0/`, `/more1/` and so on.
+    pub fn put_with_routes(&self, version: u64, count: usize) {
+        let body = document(version, count).to_string();
         let put = self.poll(WAIT_TIMEOUT, |deployment| {
             deployment.control_addresses().into_iter().find(|control| {
                 let reply = deployment.send(*control, "POST", "/Config.Put", "", &body);
@@ -205,9 +224,14 @@
 
     /// Sends a booking, which is not idempotent and may run at most once.
     pub fn book(&self, id: &str) -> Option<Reply> {
+        self.book_at(id, BOOK_PATH)
+    }
+
+    /// Sends a booking with this path.
+    pub fn book_at(&self, id: &str, path: &str) -> Option<Reply> {
         let headers =
             format!("Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {API_KEY}\r\n");
-        self.send(self.entry_address(PORTS.callers), "POST", BOOK_PATH, &headers, "seat")
+        self.send(self.entry_address(PORTS.callers), "POST", path, &headers, "seat")
     }
 
     /// Sends a `GET` request with the tenant's API key.
@@ -317,10 +341,11 @@
         );
         connection.write(bytes.as_bytes()).await.ok()?;
         let head = connection.read_response_head(method, 16 << 10).await.ok()?;
-        let body = connection.read_body(head.framing, 1 << 20).await.ok()?;
+        let body = connection.read_body(head.framing, MAX_BODY_BYTES).await.ok()?;
         Some(Reply {
             status: head.status,
             id: head.headers.find("dotterelhoist-request-id").map(str::to_owned),
+            retry_after: head.headers.find("retry-after").and_then(|after| after.parse().ok()),
             sealed: head.headers.find("dotterelhoist-response-seal").is_some(),
             body: String::from_utf8_lossy(&body).into_owned(),
         })
@@ -350,21 +375,26 @@
         .collect()
 }
 
-/// Configuration document of all tests: a streaming route that allows 2 attempts and a route whose
-/// requests are not idempotent.
-fn document(version: u64) -> serde_json::Value {
+/// Configuration document of all tests: a streaming route that allows 2 attempts, and routes whose
+/// requests are not idempotent: one and `more` further ones.
+fn document(version: u64, more: usize) -> serde_json::Value {
+    let booking = |name: &str| {
+        json!({ "name": name, "host": "h.example", "path_prefix": format!("/{name}/"),
+                "route_type": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 500,
+                "service": "desk", "attempts": 1 })
+    };
+    let mut routes = vec![
+        json!({ "name": "stream", "host": "h.example", "path_prefix": "/stream/",
+                "route_type": "streaming", "timeout_ms": 6000, "target_latency_ms": 500,
+                "service": "llm", "attempts": 2, "resumable": true }),
+        booking("book"),
+    ];
+    routes.extend((0..more).map(|number| booking(&format!("more{number}"))));
     let model =
         json!({ "name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 1, "warm_s": 1 });
     json!({
         "version": version,
-        "routes": [
-            { "name": "stream", "host": "h.example", "path_prefix": "/stream/",
-              "route_type": "streaming", "timeout_ms": 6000, "target_latency_ms": 500,
-              "service": "llm", "attempts": 2, "resumable": true },
-            { "name": "book", "host": "h.example", "path_prefix": "/book/",
-              "route_type": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 500,
-              "service": "desk", "attempts": 1 },
-        ],
+        "routes": routes,
         "services": [
             { "name": "llm", "engine": { "slots": 26, "models": [model], "step_ms": 6.0,
               "per_seq_ms": 0.2, "read_per_s": 46000.0, "loads_per_s": 100.0 } },
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -22,6 +22,9 @@
 /// Number of times that each request has run, by request id.
 pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
+/// Requests per second that plain services state to take, if any; shared by all stand-ins.
+pub type Limit = Arc<Mutex<Option<f64>>>;
+
 /// Properties of a stand-in.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -33,6 +36,8 @@
     pub control_addresses: Vec<SocketAddr>,
     /// Number of times that each request has run, shared by all stand-ins.
     pub runs: Runs,
+    /// Limit that it states in its responses if it is a plain service.
+    pub limit: Limit,
 }
 
 /// Mutable state of a stand-in.
@@ -133,8 +138,12 @@
         let common_headers =
             format!("Dotterelhoist-Request-Id: {id}\r\nDotterelhoist-Response-Seal: s.{id}");
         if self.service == "desk" {
-            let line =
-                format!("HTTP/1.1 200 OK\r\n{common_headers}\r\nContent-Length: 4\r\n\r\ndone");
+            let limit = self.limit.lock().ok().and_then(|limit| *limit);
+            let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+            let line = format!(
+                "HTTP/1.1 200 OK\r\n{common_headers}\r\n{}Content-Length: 4\r\n\r\ndone",
+                limit.unwrap_or_default()
+            );
             return connection.write(line.as_bytes()).await.ok();
         }
         let body_headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
