--- a/crates/fleet/tests/deployment/limits.rs
+++ b/crates/fleet/tests/deployment/limits.rs
@@ -32,7 +32,7 @@
 
 /// The most requests that an endpoint got in any window that begins [`CONTACT_TIME`] after `named`
 /// or later, from entry daemons that had been told for [`TOLD_TIME`].
-fn most_in_a_window(network: &Network, id: &str, named: Instant) -> usize {
+pub fn most_in_a_window(network: &Network, id: &str, named: Instant) -> usize {
     let endpoint = &network.endpoints[id];
     let counted = endpoint.arrivals.iter().filter(|(at, daemon)| {
         let told = endpoint.told.get(daemon);
@@ -46,7 +46,7 @@
 }
 
 /// Requests that an endpoint may get in one window.
-fn allowed(limit: f64) -> usize {
+pub fn allowed(limit: f64) -> usize {
     (WINDOW.as_secs_f64() * limit * 1.5 + 5.0) as usize
 }
 
--- a/crates/fleet/tests/deployment/main.rs
+++ b/crates/fleet/tests/deployment/main.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod limits;
 mod network;
+mod soak;
 
 use self::network::Shape;
 
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -520,7 +520,7 @@
     ["a", "b", "c"][index % 3].into()
 }
 
-fn control_name(index: usize) -> Name {
+pub fn control_name(index: usize) -> Name {
     format!("10.{}.0.{}", index % 3, 1 + index / 3).into()
 }
 
