--- a/crates/fleet/tests/deployment/documents.rs
+++ b/crates/fleet/tests/deployment/documents.rs
@@ -47,6 +47,25 @@
     assert!(bytes < length, "{bytes} bytes for a document of {length}");
 }
 
+/// Messages of the log and loads of endpoints must not wait behind a document for a noticeable part
+/// of the leader's lease (560 ms).
+#[test]
+fn messages_do_not_wait_long_behind_a_document_that_grew() {
+    let mut network = network_with(2800);
+    network.longest_transfers.clear();
+    for (control, version) in [(1, 2), (4, 3)] {
+        let ticket = network.put(control, document(version, 4200));
+        let accepted = |network: &Network| network.accepted_at(ticket).is_some();
+        assert!(network.run_until(ACCEPT_TIMEOUT, accepted), "version {version}");
+    }
+    network.run_until(SECOND * 3, |_| false);
+    println!("{:?}", network.longest_transfers);
+    for kind in ["replication", "status", "loads", "heartbeats"] {
+        let longest = network.longest_transfers.get(kind).copied().unwrap_or_default();
+        assert!(longest < Duration::from_millis(100), "{kind}: {longest:?}");
+    }
+}
+
 /// A document that has grown must be in force everywhere in time, and so must the one that follows
 /// as soon as it is acknowledged.
 #[rstest]
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -173,6 +173,8 @@
     pub answers: BTreeMap<u64, (Instant, Answer)>,
     /// Bytes of all frames sent so far.
     pub sent_bytes: usize,
+    /// Longest time from the sending of a frame to its arrival, by the kind of message.
+    pub longest_transfers: BTreeMap<&'static str, Duration>,
     pub endpoints: BTreeMap<Name, Endpoint>,
     /// Refusals of requests, with the time from their arrival.
     pub refusals: Vec<(Duration, Refusal)>,
@@ -201,6 +203,7 @@
             entry: BTreeMap::new(),
             answers: BTreeMap::new(),
             sent_bytes: 0,
+            longest_transfers: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             refusals: Vec::new(),
             answered: 0,
@@ -478,6 +481,8 @@
         let received_at =
             (receiver.received_at.max(begun + LATENCY) + receive_time).max(sent_at + LATENCY);
         receiver.received_at = received_at;
+        let longest = self.longest_transfers.entry((&body).into()).or_default();
+        *longest = (*longest).max(received_at.since(self.now));
         self.at(received_at, &to, Occurrence::Received(from.clone(), body));
     }
 
