A daemon that starts is ready as soon as the document arrives

Callers saw: up to 300 ms more of refusals after each start of an entry daemon. Cause: the status that announces the document arrives before it, since documents are fetched, and only the next status confirmed it (before, the document was sent first). Change: the newest statuses are checked again when a document is put into force. daemon_that_starts_is_ready_as_soon_as_the_document_arrives fails on the code before, by the order of its messages; all 46 tests of the daemon pass.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -329,7 +329,7 @@
     }
 
     /// Connects to the control daemons that a status lists, and updates the retry budget and the
-    /// requests to refuse. Confirms the document if the sender is up to date and has no newer one.
+    /// requests to refuse.
     fn apply_status(
         &mut self,
         now: Instant,
@@ -340,13 +340,6 @@
         for daemon in &status.control_daemons {
             effects.push(Effect::Dial(daemon.as_str().into()));
         }
-        let version = self.version();
-        if status.up_to_date && version > 0 && version >= status.version && !self.confirmed {
-            self.confirmed = true;
-            let detail = format!("version={version} source={from}");
-            let event = journal::Event::new(102, "ready", &*self.setup.daemon, detail);
-            effects.push(Effect::Log(event));
-        }
         self.crashing.extend(&status.crashing);
         let entry_daemons = f64::from(status.entry_daemons.max(1));
         self.budget.set_burst(self.setup.retry_slack * RETRY_SLACK_FACTOR / entry_daemons);
@@ -354,6 +347,7 @@
             source.applied_at = now.before(Duration::from_millis(status.document_age_ms.into()));
             source.status = Some(status);
         }
+        self.confirm_document(effects);
         self.update_lag();
         self.select_source(now, effects);
         self.fetch_document(now, effects);
--- a/crates/fleet/src/entry/fetching.rs
+++ b/crates/fleet/src/entry/fetching.rs
@@ -15,7 +15,7 @@
 use crate::patch::Patch;
 use crate::Name;
 
-use super::{Effect, State};
+use super::{Effect, Source, State};
 
 /// Time for the answer to a request for the document; after that, another control daemon is asked.
 const FETCH_TIMEOUT_MIN: Duration = Duration::from_secs(1);
@@ -68,6 +68,24 @@
         self.transfer = Some(Transfer { source, since: now, timeout, failed: false });
     }
 
+    /// Confirms the document if a control daemon that was up to date stated no newer one.
+    pub(super) fn confirm_document(&mut self, effects: &mut Vec<Effect>) {
+        let version = self.version();
+        if self.confirmed || version == 0 {
+            return;
+        }
+        let confirms = |source: &&Source| {
+            let up_to_date = source.status.as_ref().is_some_and(|status| status.up_to_date);
+            up_to_date && source.version() <= version
+        };
+        if self.sources.values().any(|source| confirms(&source)) {
+            self.confirmed = true;
+            let detail = format!("version={version}");
+            let event = journal::Event::new(102, "ready", &*self.setup.daemon, detail);
+            effects.push(Effect::Log(event));
+        }
+    }
+
     /// Whether a control daemon has had a newer document for so long that this daemon's must no
     /// longer be used.
     pub(super) fn is_outdated(&self, now: Instant) -> bool {
@@ -139,6 +157,7 @@
         effects.push(Effect::Log(event));
         self.document = Some(Arc::new(document));
         self.original = original;
+        self.confirm_document(effects);
         self.transfer = None;
         self.behind_since = None;
         self.update_lag();
--- a/crates/fleet/tests/entry/fetching.rs
+++ b/crates/fleet/tests/entry/fetching.rs
@@ -23,6 +23,21 @@
     (from.into(), Fetch { version })
 }
 
+/// The status that names the document must not be needed twice: callers wait for a daemon that
+/// starts.
+#[test]
+fn daemon_that_starts_is_ready_as_soon_as_the_document_arrives() {
+    let mut harness = Harness::starting();
+    harness.apply(Event::Connected(SELECTED_CONTROL.into()));
+    harness.status(5, &[]);
+    assert_eq!(harness.fetches, [fetch(SELECTED_CONTROL, 0)]);
+    assert!(!harness.state.is_ready());
+    harness.receive(document(4));
+    assert!(!harness.state.is_ready());
+    harness.receive(document(5));
+    assert!(harness.state.is_ready());
+}
+
 #[test]
 fn document_is_fetched_once_from_the_selected_control_daemon() {
     let mut harness = connected();
