A response that is cut, and a connection that times out, leave a trace

Change: line 123 and counters cut.REASON; counters closed.idle, closed.head_timeout and closed.body_timeout.

--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -64,6 +64,8 @@
     endpoint: Option<Name>,
     /// Whether the response of the current attempt has begun.
     begun: bool,
+    /// Whether any part of a response has been sent to the caller.
+    response_begun: bool,
     /// Whether an earlier attempt may have run it.
     may_have_run: bool,
     /// Whether the shell was told to abandon the current attempt.
@@ -114,6 +116,7 @@
             tried: SmallVec::new(),
             endpoint: None,
             begun: false,
+            response_begun: false,
             may_have_run: false,
             abandoned: false,
             request,
@@ -245,6 +248,7 @@
             return;
         }
         active.begun = true;
+        active.response_begun = true;
         if let Some(target) = &active.endpoint {
             self.targets.record_response_start(target, active.request.prompt_tokens);
         }
@@ -400,6 +404,11 @@
         let possibly_run = active.may_have_run && reason != Reason::TimedOut;
         let reason = if possibly_run { Reason::Lost } else { reason };
         let retry_after = matches!(reason.status(), 429 | 503).then_some(retry_after);
+        if active.response_begun {
+            let detail = format!("reason={reason} attempts={}", active.attempts);
+            let request_id = &*active.request.request_id;
+            effects.push(Effect::Log(journal::Event::new(123, "response cut", request_id, detail)));
+        }
         let request_id = active.request.request_id.clone();
         self.refuse(id, &request_id, Refusal { reason, retry_after }, effects);
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -307,7 +307,11 @@
                 };
                 match first_bytes.or(close_requested).await {
                     Some(Ok(count)) if count > 0 => {}
-                    _ => break,
+                    Some(_) => break,
+                    None => {
+                        self.meter.count("closed.idle");
+                        break;
+                    }
                 }
             }
             let head = connection.read_request_head(limits.head_bytes);
@@ -317,7 +321,10 @@
                     self.refuse_unreadable(&connection, &error).await;
                     false
                 }
-                None => false,
+                None => {
+                    self.meter.count("closed.head_timeout");
+                    false
+                }
             };
             if !keep_alive {
                 break;
@@ -357,7 +364,10 @@
                 self.refuse_unreadable(connection, &error).await;
                 return false;
             }
-            None => return false,
+            None => {
+                self.meter.count("closed.body_timeout");
+                return false;
+            }
         };
         let id = self.next_id.get();
         self.next_id.set(id + 1);
@@ -415,6 +425,9 @@
                     }
                 }
                 Decision::Refuse(refusal) => {
+                    if response.has_begun() {
+                        self.meter.count(&format!("cut.{}", refusal.reason));
+                    }
                     let header = Platform::HEADERS.request_id;
                     response.send_refusal(header, &incoming.request_id, &refusal).await;
                     return;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Whether sending the response has begun, so that a refusal can only cut it off.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Sends the request to an endpoint and forwards the response, until the deadline of the
     /// attempt or a message on `abandon`. Returns how the attempt ended.
     pub(crate) async fn run_attempt<Platform>(
