--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -21,6 +21,7 @@
 mod fetching;
 mod limits;
 mod placing;
+mod stalls;
 
 const SELECTED_CONTROL: &str = "10.0.0.9";
 /// A control daemon that sends no status and therefore is not selected.
