Test: streams are complete although their engines pause beside a document change

An engine may fall silent for a second and go on. The stand-in engines can now be silent for a time; streams in flight, streams that arrive in the silence and bookings are checked, each on a connection that must then carry another request. A document is put meanwhile.

So a stream in flight loses its connection, and one that arrives at an engine which other streams already run on is refused as lost. Where no response of the engine has begun, the longer timeout (1.2 s) is in force, and nothing is lost.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use self::deployment::{Deployment, Reply};
+use rstest::rstest;
+
+use self::deployment::{Deployment, Exchange, Kind, Reply};
 
 #[path = "platform/deployment.rs"]
 mod deployment;
@@ -12,6 +14,13 @@
 
 /// Number of requests that one call of [`serve_all`] sends.
 const REQUESTS: usize = 40;
+/// Time for which a sound endpoint may send nothing.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Number of streams of a test that are in flight at the same time.
+const STREAMS: usize = 8;
+/// Number of events of a stream that must still be in flight when a silence starts: enough for two
+/// seconds.
+const LONG_STREAM_EVENTS: u64 = 50;
 /// Time within which a deployment must recover from a failure.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -115,3 +124,83 @@
     let retry_after = refused.retry_after.expect("the refusal states when to retry");
     assert!((1.0..=10.0).contains(&retry_after), "{retry_after} s");
 }
+
+/// All engines fall silent for a second while a document change is put: the streams in flight, of
+/// which there are `begun`, and those that arrive in the silence must be complete, with a connection
+/// that can carry another request.
+#[rstest]
+#[case::mid_stream(STREAMS)]
+#[case::before_its_first_event(0)]
+#[case::in_both_states(STREAMS / 2)]
+fn stream_beside_a_document_change_is_complete_although_its_engine_pauses(#[case] begun: usize) {
+    let deployment = Deployment::start();
+    let kind = Kind::Stream { events: LONG_STREAM_EVENTS };
+    let ids: Vec<String> = (0..STREAMS).map(|number| format!("s{number}-0")).collect();
+    let send = |id: &String| deployment.request_in_background(id, kind);
+    let mut callers: Vec<_> = ids[..begun].iter().map(send).collect();
+    let all_begun = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        let sent = deployment.silence.sent();
+        ids[..begun].iter().all(|id| sent.contains_key(id)).then_some(())
+    });
+    assert!(all_begun.is_some(), "not all streams have begun in time");
+    deployment.silence.start(SILENCE);
+    callers.extend(ids[begun..].iter().map(send));
+    deployment.put(8);
+    let exchanges: Vec<Exchange> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("the caller's thread does not panic"))
+        .collect();
+    let held = deployment.silence.held();
+    let held_up = |id: &String| held.get(id).map(|sent| *sent > 0);
+    let expected = (0..STREAMS).map(|number| Some(number < begun));
+    assert!(
+        ids.iter().map(held_up).eq(expected),
+        "the silence did not hold up each stream where it should: {held:?}"
+    );
+    let all: Vec<u64> = (1..=LONG_STREAM_EVENTS).collect();
+    let is_complete = |reply: &Reply| {
+        reply.status == 200 && reply.sealed && deployment::event_ids(&reply.body) == all
+    };
+    let outcomes: Vec<String> =
+        exchanges.iter().map(|exchange| outcome(exchange, is_complete)).collect();
+    assert_eq!(outcomes, ["complete"; STREAMS]);
+    deployment.check_run_counts();
+}
+
+/// Like the streams above, for bookings whose service answers a second late.
+#[test]
+fn booking_beside_a_document_change_is_answered_although_its_service_pauses() {
+    let deployment = Deployment::start();
+    let ids: Vec<String> = (0..STREAMS).map(|number| format!("b{number}-1")).collect();
+    deployment.silence.start(SILENCE);
+    let callers: Vec<_> =
+        ids.iter().map(|id| deployment.request_in_background(id, Kind::Booking)).collect();
+    deployment.put(8);
+    let exchanges = callers.into_iter().map(|caller| {
+        let exchange = caller.join().expect("the caller's thread does not panic");
+        outcome(&exchange, |reply| reply.status == 200 && reply.sealed && reply.body == "done")
+    });
+    let outcomes: Vec<String> = exchanges.collect();
+    assert_eq!(outcomes, ["complete"; STREAMS]);
+    let held = deployment.silence.held();
+    assert!(ids.iter().all(|id| held.contains_key(id)), "not all bookings were held up: {held:?}");
+    deployment.check_run_counts();
+}
+
+/// What became of a request: `complete` if `is_complete` holds for the response and the connection
+/// could carry another request.
+fn outcome<Check>(exchange: &Exchange, is_complete: Check) -> String
+where
+    Check: Fn(&Reply) -> bool,
+{
+    let Some(reply) = &exchange.reply else {
+        return "no complete response".to_owned();
+    };
+    if !is_complete(reply) {
+        return format!("{} {}", reply.status, reply.body);
+    }
+    match &exchange.next {
+        Some(next) if next.status == 200 => "complete".to_owned(),
+        next => format!("complete, but the next request on the connection got {next:?}"),
+    }
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -12,7 +12,7 @@
 use smol::net::TcpStream;
 use tempfile::TempDir;
 
-use crate::engine::{Engine, Handle, Limit, Runs};
+use crate::engine::{Engine, Handle, Limit, Runs, Silence};
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
@@ -47,6 +47,23 @@
     pub body: String,
 }
 
+/// Kind of a request of [`Deployment::request_in_background`].
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A stream of this many events.
+    Stream { events: u64 },
+    /// A booking.
+    Booking,
+}
+
+/// Two responses on one connection; none for one that is not complete.
+#[derive(Debug, Default)]
+pub struct Exchange {
+    pub reply: Option<Reply>,
+    /// Response to the booking that was sent after the first response.
+    pub next: Option<Reply>,
+}
+
 /// A running deployment; dropping it kills its processes.
 pub struct Deployment {
     /// Temporary folder with the settings files and data folders; removed on drop.
@@ -63,6 +80,8 @@
     runs: Runs,
     /// Limit that the plain service states.
     limit: Limit,
+    /// When the engines and the plain service send nothing.
+    pub silence: Silence,
     /// Number of labels that [`Deployment::unique_label`] has returned.
     label_count: AtomicU64,
 }
@@ -93,6 +112,7 @@
             engines: Vec::new(),
             runs: Runs::default(),
             limit: Limit::default(),
+            silence: Silence::default(),
             label_count: AtomicU64::new(0),
         };
         for index in 0..CONTROL_DAEMONS {
@@ -108,6 +128,7 @@
                 control_addresses: deployment.control_addresses(),
                 runs: deployment.runs.clone(),
                 limit: deployment.limit.clone(),
+                silence: deployment.silence.clone(),
             };
             deployment.engines.push(Some(engine.start()));
         }
@@ -259,6 +280,28 @@
         caller
     }
 
+    /// Sends a request on a new connection from another thread. The body states the number of events
+    /// for a stream. If the response is complete, sends a booking on the same connection and returns
+    /// both responses.
+    pub fn request_in_background(&self, id: &str, kind: Kind) -> JoinHandle<Exchange> {
+        let address = self.entry_address(PORTS.callers);
+        let (path, body) = match kind {
+            Kind::Stream { events } => (STREAM_PATH, format!("prompt {events}")),
+            Kind::Booking => (BOOK_PATH, "seat".to_owned()),
+        };
+        let first = request(id, path, &body);
+        let next = request(&format!("{id}-next1"), BOOK_PATH, "seat");
+        std::thread::spawn(move || {
+            let exchange = async {
+                let mut connection = Connection::open(TcpStream::connect(address).await.ok()?);
+                let reply = exchange(&mut connection, "POST", &first).await?;
+                let next = exchange(&mut connection, "POST", &next).await;
+                Some(Exchange { reply: Some(reply), next })
+            };
+            smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten().unwrap_or_default()
+        })
+    }
+
     fn send(
         &self,
         address: SocketAddr,
@@ -339,20 +382,35 @@
             "{method} {path} HTTP/1.1\r\nHost: h.example\r\n{headers}Connection: close\r\n\
              Content-Length: {length}\r\n\r\n{body}"
         );
-        connection.write(bytes.as_bytes()).await.ok()?;
-        let head = connection.read_response_head(method, 16 << 10).await.ok()?;
-        let body = connection.read_body(head.framing, MAX_BODY_BYTES).await.ok()?;
-        Some(Reply {
-            status: head.status,
-            id: head.headers.find("dotterelhoist-request-id").map(str::to_owned),
-            retry_after: head.headers.find("retry-after").and_then(|after| after.parse().ok()),
-            sealed: head.headers.find("dotterelhoist-response-seal").is_some(),
-            body: String::from_utf8_lossy(&body).into_owned(),
-        })
+        exchange(&mut connection, method, &bytes).await
     };
     smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
 }
 
+/// Sends the bytes of a request and returns the response, none if it is not complete.
+async fn exchange(connection: &mut Connection, method: &str, bytes: &str) -> Option<Reply> {
+    connection.write(bytes.as_bytes()).await.ok()?;
+    let head = connection.read_response_head(method, 16 << 10).await.ok()?;
+    let body = connection.read_body(head.framing, MAX_BODY_BYTES).await.ok()?;
+    Some(Reply {
+        status: head.status,
+        id: head.headers.find("dotterelhoist-request-id").map(str::to_owned),
+        retry_after: head.headers.find("retry-after").and_then(|after| after.parse().ok()),
+        sealed: head.headers.find("dotterelhoist-response-seal").is_some(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
+/// Bytes of a request of the tenant after which the connection stays open.
+fn request(id: &str, path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nDotterelhoist-Request-Id: {id}\r\n\
+         Authorization: Bearer {API_KEY}\r\nDotterelhoist-Deadline-Ms: 6000\r\n\
+         Dotterelhoist-Model: m\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Ids of the events in the body of a stream.
 pub fn event_ids(body: &str) -> Vec<u64> {
     body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -4,8 +4,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use dotterelhoist_gateway::http::{Connection, RequestHead};
 use serde_json::{json, Value};
@@ -16,7 +16,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
-/// Number of events of a stream.
+/// Number of events of a stream whose request body states none.
 const EVENT_COUNT: u64 = 5;
 
 /// Number of times that each request has run, by request id.
@@ -25,6 +25,60 @@
 /// Requests per second that plain services state to take, if any; shared by all stand-ins.
 pub type Limit = Arc<Mutex<Option<f64>>>;
 
+/// When the stand-ins send nothing, and what that silence has held up; shared by all stand-ins.
+#[derive(Clone, Debug, Default)]
+pub struct Silence(Arc<Mutex<SilenceState>>);
+
+/// State of a [`Silence`].
+#[derive(Debug, Default)]
+struct SilenceState {
+    /// End of the silence, if there has been one.
+    until: Option<Instant>,
+    /// Number of the last event that was sent of each stream, by request id.
+    sent: HashMap<String, u64>,
+    /// Number of the last event that was sent of each response when a silence held it up, by request
+    /// id.
+    held: HashMap<String, u64>,
+}
+
+impl Silence {
+    /// Starts a silence of this duration. The stand-ins send no part of any response to a caller in
+    /// it, and go on afterwards; they still take requests, orders and report requests.
+    pub fn start(&self, duration: Duration) {
+        self.lock().until = Some(Instant::now() + duration);
+    }
+
+    /// Number of the last event that was sent of each stream, by request id.
+    pub fn sent(&self) -> HashMap<String, u64> {
+        self.lock().sent.clone()
+    }
+
+    /// Number of the last event that was sent of each response when a silence held it up, by request
+    /// id; 0 for a response that had not begun.
+    pub fn held(&self) -> HashMap<String, u64> {
+        self.lock().held.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SilenceState> {
+        self.0.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// Waits for the end of the silence, if there is one, before the next part of the response to
+    /// the request `id` is sent, of which the event `sent` was the last.
+    async fn wait(&self, id: &str, sent: u64) {
+        loop {
+            let until = self.lock().until.filter(|until| Instant::now() < *until);
+            let Some(until) = until else { return };
+            self.lock().held.entry(id.to_owned()).or_insert(sent);
+            Timer::at(until).await;
+        }
+    }
+
+    fn record_sent(&self, id: &str, event: u64) {
+        self.lock().sent.insert(id.to_owned(), event);
+    }
+}
+
 /// Properties of a stand-in.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -38,6 +92,8 @@
     pub runs: Runs,
     /// Limit that it states in its responses if it is a plain service.
     pub limit: Limit,
+    /// When it sends nothing, shared by all stand-ins.
+    pub silence: Silence,
 }
 
 /// Mutable state of a stand-in.
@@ -109,7 +165,7 @@
                     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                     connection.write(format!("{head}{body}").as_bytes()).await.ok()?;
                 }
-                _ => self.run(&mut connection, &head).await?,
+                _ => self.run(&mut connection, &head, &body).await?,
             }
             if !head.keep_alive {
                 return Some(());
@@ -118,9 +174,15 @@
     }
 
     /// Runs a request of a caller and counts the run. A booking is answered at once; a stream sends
-    /// the events after the one in the `Last-Event-ID` header, or all without one. A request that
-    /// is meant for another instance is refused with 421 and not counted.
-    async fn run(&self, connection: &mut Connection, head: &RequestHead) -> Option<()> {
+    /// the events after the one in the `Last-Event-ID` header, or all without one. The body of the
+    /// request may end with the number of events, after a space. A request that is meant for another
+    /// instance is refused with 421 and not counted. A [`Silence`] holds up each part of a response.
+    async fn run(
+        &self,
+        connection: &mut Connection,
+        head: &RequestHead,
+        body: &[u8],
+    ) -> Option<()> {
         let id = head.headers.find("dotterelhoist-request-id")?.to_owned();
         let expected = head.headers.find("dotterelhoist-expect-instance")?;
         assert!(
@@ -138,6 +200,7 @@
         let common_headers =
             format!("Dotterelhoist-Request-Id: {id}\r\nDotterelhoist-Response-Seal: s.{id}");
         if self.service == "desk" {
+            self.silence.wait(&id, 0).await;
             let limit = self.limit.lock().ok().and_then(|limit| *limit);
             let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
             let line = format!(
@@ -146,15 +209,21 @@
             );
             return connection.write(line.as_bytes()).await.ok();
         }
+        let stated_count = std::str::from_utf8(body).ok().and_then(|body| body.rsplit_once(' '));
+        let event_count =
+            stated_count.and_then(|(_, count)| count.parse().ok()).unwrap_or(EVENT_COUNT);
+        self.silence.wait(&id, 0).await;
         let body_headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
         let line = format!("HTTP/1.1 200 OK\r\n{common_headers}\r\n{body_headers}\r\n\r\n");
         connection.write(line.as_bytes()).await.ok()?;
         let last_event_id = head.headers.find("last-event-id").and_then(|id| id.parse().ok());
-        for event in last_event_id.unwrap_or(0) + 1..=EVENT_COUNT {
+        for event in last_event_id.unwrap_or(0) + 1..=event_count {
             Timer::after(EVENT_INTERVAL).await;
-            let event = format!("id: {event}\ndata: piece\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            self.silence.wait(&id, event - 1).await;
+            let text = format!("id: {event}\ndata: piece\n\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             connection.write(chunk.as_bytes()).await.ok()?;
+            self.silence.record_sent(&id, event);
         }
         connection.write(b"0\r\n\r\n").await.ok()
     }
