--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -25,6 +25,7 @@
 pub mod targets;
 
 mod fetching;
+mod hedging;
 mod limits;
 mod reporting;
 mod serving;
@@ -87,8 +88,14 @@
     Received(Name, Body),
     /// A caller has sent a request.
     RequestArrived(Box<Request>),
-    /// The attempt of the request with this id has ended.
+    /// The current attempt of the request with this id has ended. A second attempt that runs beside
+    /// it becomes the current one, unless the request is done.
     AttemptEnded(u64, End),
+    /// The second attempt of the request with this id has ended; the current one goes on.
+    HedgeEnded(u64, End),
+    /// The second attempt of the request with this id has become the current one, because its
+    /// response arrived first. The other one was dropped.
+    HedgeAdopted(u64),
     /// The head of a response has arrived from this endpoint, with the requests per second that it
     /// takes from all entry daemons together; none if it stated no limit.
     LimitStated(Name, Option<f64>),
@@ -107,9 +114,6 @@
     Dial(Name),
     /// Pass a decision to the task that serves the request with this id.
     Decide(u64, Decision),
-    /// Stop the current attempt of the request with this id, because its endpoint makes no
-    /// progress.
-    Abandon(u64),
     /// Write a log line.
     Log(journal::Event),
 }
@@ -249,6 +253,8 @@
             Event::Received(from, body) => self.receive(now, from, body, effects),
             Event::RequestArrived(request) => self.accept_request(now, *request, effects),
             Event::AttemptEnded(id, end) => self.end_attempt(now, id, end, effects),
+            Event::HedgeEnded(id, end) => self.end_hedge(now, id, &end, effects),
+            Event::HedgeAdopted(id) => self.adopt_hedge(now, id, effects),
             Event::LimitStated(endpoint, limit) => {
                 self.record_limit(now, &endpoint, limit, effects)
             }
@@ -388,7 +394,7 @@
         network(daemon) == network(&self.setup.daemon)
     }
 
-    /// Abandons stalled attempts, refuses requests whose queue timeout is over, sends queued ones,
+    /// Starts second attempts for stalled ones, refuses requests whose queue timeout is over, sends queued ones,
     /// and sends the reports that are due.
     fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let timed_out = now.since(self.started) > CONFIRMATION_TIMEOUT;
@@ -403,7 +409,7 @@
             self.targets.restart_stall_timers(now);
         }
         self.last_tick = now;
-        self.abandon_stalled_attempts(now, effects);
+        self.hedge_stalled_attempts(now, effects);
         let targets = &self.targets;
         self.unreported_crashes
             .extend(self.losses.take_crashed(now, |id| targets.has_probably_terminated(id, now)));
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -57,6 +57,9 @@
 pub enum Decision {
     /// Send it to an endpoint.
     Send(Attempt),
+    /// Send it to a second endpoint while the current attempt goes on. Whichever response arrives
+    /// first is forwarded, and the other attempt is dropped.
+    Hedge(Attempt),
     /// Refuse it; this is its final response.
     Refuse(Refusal),
     /// Forward the endpoint's error response, which the task holds, as the final response.
@@ -147,13 +150,14 @@
         /// HTTP status.
         status: u16,
     },
-    /// The response broke off, was invalid, or the attempt was abandoned.
+    /// The response broke off or was invalid; another attempt can start or continue the response to
+    /// the caller.
     Lost {
-        /// Whether another attempt can still start or continue the response to the caller.
-        open: bool,
         /// Whether the connection broke, as happens when the endpoint terminates.
         broken: bool,
     },
+    /// A second attempt was dropped, because the current one made progress.
+    Dropped,
     /// The deadline passed before the response was complete.
     TimedOut {
         /// Whether a part of the response had been sent to the caller.
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -40,36 +40,38 @@
 const QUEUE_LENGTH_MIN: usize = 8;
 /// Maximum number of endpoints that are tried for one request, unreachable ones included; it is
 /// then not retried.
-const TRIED_ENDPOINTS_MAX: usize = 6;
+pub(super) const TRIED_ENDPOINTS_MAX: usize = 6;
 /// Minimum time before the deadline for a retry; with less, the request is not retried. A queued
 /// request is refused at the latest this long before its deadline.
-const REMAINING_TIME_MIN: Duration = Duration::from_millis(30);
+pub(super) const REMAINING_TIME_MIN: Duration = Duration::from_millis(30);
 
 /// A request that has no final response yet.
 #[derive(Debug)]
 pub(super) struct Active {
-    request: Request,
-    route: Arc<Route>,
+    pub(super) request: Request,
+    pub(super) route: Arc<Route>,
     /// Workspace of its caller; none if it presented no valid key and needed none.
     workspace: Option<Arc<Workspace>>,
-    requirement: Requirement,
+    pub(super) requirement: Requirement,
     /// Time by which the final response must be complete: the caller's deadline or the end of the
     /// route's timeout, whichever is earlier.
-    deadline: Instant,
+    pub(super) deadline: Instant,
     /// Attempts so far, except those that could not connect.
-    attempts: u32,
+    pub(super) attempts: u32,
     /// Endpoints of all attempts so far, which are not chosen again.
-    tried: SmallVec<[Name; 4]>,
+    pub(super) tried: SmallVec<[Name; 4]>,
     /// Endpoint of the current attempt; none while it is queued.
-    endpoint: Option<Name>,
+    pub(super) endpoint: Option<Name>,
+    /// Endpoint of a second attempt that runs beside the current one; none while there is none.
+    pub(super) hedge: Option<Name>,
     /// Whether the response of the current attempt has begun.
-    begun: bool,
+    pub(super) begun: bool,
     /// Whether any part of a response has been sent to the caller.
-    response_begun: bool,
+    pub(super) response_begun: bool,
+    /// Whether the shell is writing to the caller, so that it does not read from the endpoint.
+    pub(super) writing: bool,
     /// Whether an earlier attempt may have run it.
-    may_have_run: bool,
-    /// Whether the shell was told to abandon the current attempt.
-    abandoned: bool,
+    pub(super) may_have_run: bool,
 }
 
 impl<Decoder> State<Decoder>
@@ -115,10 +117,11 @@
             attempts: 0,
             tried: SmallVec::new(),
             endpoint: None,
+            hedge: None,
             begun: false,
             response_begun: false,
+            writing: false,
             may_have_run: false,
-            abandoned: false,
             request,
         };
         self.requests.insert(id, active);
@@ -168,14 +171,25 @@
         self.refuse_unservable(now, effects);
     }
 
-    /// Starts an attempt at the endpoint `target`.
+    /// Starts the current attempt at the endpoint `target`.
     fn send(&mut self, now: Instant, id: u64, target: Name, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.start_attempt(now, id, &target) else { return };
         let Some(active) = self.requests.get_mut(&id) else { return };
-        let Some(target_state) = self.targets.target(&target) else { return };
-        active.attempts += 1;
-        active.endpoint = Some(target.clone());
+        active.endpoint = Some(target);
         active.begun = false;
-        active.abandoned = false;
+        effects.push(Effect::Decide(id, Decision::Send(attempt)));
+    }
+
+    /// Counts a new attempt of a request at the endpoint `target` and describes it.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Instant,
+        id: u64,
+        target: &Name,
+    ) -> Option<Attempt> {
+        let active = self.requests.get_mut(&id)?;
+        let target_state = self.targets.target(target)?;
+        active.attempts += 1;
         active.tried.push(target.clone());
         let attempt = Attempt {
             address: target_state.description.address.as_str().into(),
@@ -185,8 +199,8 @@
             deadline: active.deadline,
             number: active.attempts,
         };
-        self.targets.record_send(&target, active.request.prompt_tokens, now);
-        effects.push(Effect::Decide(id, Decision::Send(attempt)));
+        self.targets.record_send(target, active.request.prompt_tokens, now);
+        Some(attempt)
     }
 
     /// Sends queued requests while endpoints have free slots.
@@ -217,30 +231,6 @@
         }
     }
 
-    /// Ejects endpoints that make no progress, and abandons those of their attempts whose requests
-    /// may be retried elsewhere.
-    pub(super) fn abandon_stalled_attempts(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        for stalled in self.targets.eject_stalled(now) {
-            let is_affected = |active: &Active| active.endpoint.as_ref() == Some(&stalled);
-            let mut moved = 0;
-            for (id, active) in self.requests.iter_mut().filter(|(_, active)| is_affected(active)) {
-                let may_retry = active.route.is_retryable()
-                    && active.attempts < active.route.max_attempts
-                    && self.budget.allows(&active.requirement.0);
-                if may_retry && !active.abandoned {
-                    active.abandoned = true;
-                    moved += 1;
-                    effects.push(Effect::Abandon(*id));
-                }
-            }
-            if moved > 0 {
-                let detail = format!("requests={moved}");
-                let event = journal::Event::new(131, "endpoint stalled", &*stalled, detail);
-                effects.push(Effect::Log(event));
-            }
-        }
-    }
-
     /// Records that the response to a request has begun.
     pub fn record_response_start(&mut self, id: u64) {
         let Some(active) = self.requests.get_mut(&id) else { return };
@@ -254,6 +244,16 @@
         }
     }
 
+    /// Records that a write to the caller of a request has started or ended. Meanwhile nothing is
+    /// read from the endpoint, so its silence means nothing.
+    pub fn record_write(&mut self, id: u64, in_progress: bool, now: Instant) {
+        let Some(active) = self.requests.get_mut(&id) else { return };
+        active.writing = in_progress;
+        if let Some(target) = active.endpoint.as_ref().filter(|_| !in_progress) {
+            self.targets.restart_stall_timer(target, now);
+        }
+    }
+
     /// Records the end of an attempt with its endpoint and decides what follows.
     pub(super) fn end_attempt(
         &mut self,
@@ -264,25 +264,43 @@
     ) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(target) = active.endpoint.take() else { return };
-        self.targets.record_end(&target, active.begun, active.request.prompt_tokens);
-        active.begun = false;
-        match &end {
-            End::Answered => self.targets.record_success(&target),
+        let begun = std::mem::take(&mut active.begun);
+        self.record_outcome(now, id, &target, begun, &end, effects);
+        if self.continue_with_hedge(id, &end) {
+            self.send_queued(now, effects);
+            return;
+        }
+        self.decide_next_step(now, id, end, effects);
+        self.send_queued(now, effects);
+    }
+
+    /// Records the end of an attempt in the state of its endpoint, and logs it.
+    pub(super) fn record_outcome(
+        &mut self,
+        now: Instant,
+        id: u64,
+        target: &Name,
+        begun: bool,
+        end: &End,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(active) = self.requests.get(&id) else { return };
+        self.targets.record_end(target, begun, active.request.prompt_tokens);
+        match end {
+            End::Answered => self.targets.record_success(target),
             End::Failed { .. } if active.route.kind != Kind::Streaming => {
-                self.targets.record_success(&target);
+                self.targets.record_success(target);
             }
-            End::Unreachable => self.targets.record_failure(&target, true, now),
+            End::Unreachable => self.targets.record_failure(target, true, now),
             End::Lost { .. } | End::Failed { .. } | End::Declined { .. } => {
-                self.targets.record_failure(&target, false, now);
+                self.targets.record_failure(target, false, now);
             }
-            End::TimedOut { .. } => {}
+            End::TimedOut { .. } | End::Dropped => {}
         }
         if matches!(end, End::Lost { .. }) {
             self.losses.record(active.request.fingerprint, target.clone(), now);
         }
-        self.log_failed_attempt(id, &target, &end, effects);
-        self.decide_next_step(now, id, end, effects);
-        self.send_queued(now, effects);
+        self.log_failed_attempt(id, target, end, effects);
     }
 
     /// Logs the end of an attempt unless it succeeded.
@@ -305,7 +323,8 @@
         let retryable = active.route.is_retryable();
         match end {
             End::Answered => {
-                self.requests.remove(&id);
+                let Some(active) = self.requests.remove(&id) else { return };
+                self.release_hedge(&active);
             }
             End::Unreachable => {
                 active.attempts -= 1;
@@ -317,11 +336,11 @@
                 self.retry_or_forward(now, id, effects);
             }
             End::Failed { .. } => self.forward_failure(id, effects),
-            End::Lost { open: true, .. } if retryable => {
+            End::Lost { .. } if retryable => {
                 active.may_have_run = true;
                 self.retry(now, id, Reason::Lost, true, effects);
             }
-            End::Lost { .. } => {
+            End::Lost { .. } | End::Dropped => {
                 active.may_have_run = true;
                 self.refuse_active(now, id, Reason::Lost, effects);
             }
@@ -401,6 +420,7 @@
     ) {
         let Some(active) = self.requests.remove(&id) else { return };
         self.queue.remove(&active.requirement, id);
+        self.release_hedge(&active);
         let possibly_run = active.may_have_run && reason != Reason::TimedOut;
         let reason = if possibly_run { Reason::Lost } else { reason };
         let retry_after = matches!(reason.status(), 429 | 503).then_some(retry_after);
@@ -461,6 +481,7 @@
         if let Some(target) = &active.endpoint {
             self.targets.record_end(target, active.begun, active.request.prompt_tokens);
         }
+        self.release_hedge(&active);
         self.send_queued(now, effects);
     }
 
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -33,9 +33,11 @@
 const FIRST_PART_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Initial value of the moving average of the time between parts of responses.
 const INITIAL_GAP: Duration = Duration::from_millis(100);
-/// Duration of an ejection after one failure; it doubles with each further consecutive failure. A
-/// stalled endpoint is ejected for twice this time. An ejected endpoint is sent no requests.
+/// Duration of an ejection after one failure; it doubles with each further consecutive failure. An
+/// ejected endpoint is sent no requests.
 const EJECTION_MIN: Duration = Duration::from_millis(500);
+/// Duration of the ejection of an endpoint that makes no progress, unless it makes some earlier.
+const STALL_EJECTION_MIN: Duration = Duration::from_millis(1000);
 /// Longest duration of an ejection.
 const EJECTION_MAX: Duration = Duration::from_secs(8);
 /// Weight of the newest outcome in the moving average that is the failure rate.
@@ -93,6 +95,10 @@
     consecutive_failures: u32,
     /// Until when it is sent no requests.
     ejected_until: Instant,
+    /// Until when it is sent no requests because it makes no progress; reset by any progress.
+    stalled_until: Instant,
+    /// Requests whose second attempt has taken over since it last made progress.
+    takeovers: u32,
     /// When it was last found stalled or unreachable; none once it sends a part of a response
     /// again.
     suspected_at: Option<Instant>,
@@ -115,6 +121,15 @@
     pub(super) limits: Limits,
 }
 
+/// An endpoint that has requests in flight and makes no progress.
+#[derive(Clone, Debug)]
+pub(super) struct Silence {
+    /// Identity of the endpoint.
+    pub endpoint: Name,
+    /// Time since it last made progress.
+    pub duration: Duration,
+}
+
 /// An endpoint that could be sent a request.
 struct Candidate<'a> {
     id: &'a Name,
@@ -167,6 +182,8 @@
                 Some(target) => {
                     if target.description.group != description.group {
                         target.ejected_until = Instant::default();
+                        target.stalled_until = Instant::default();
+                        target.takeovers = 0;
                         target.consecutive_failures = 0;
                         target.failure_rate = 0.0;
                     }
@@ -211,7 +228,7 @@
         let mut has_eligible = false;
         let mut candidates = Candidates::new();
         for (index, (id, target)) in self.targets.iter().enumerate() {
-            if !target.meets(requirement) || tried.contains(id) || now < target.ejected_until {
+            if !target.meets(requirement) || tried.contains(id) || target.is_ejected(now) {
                 continue;
             }
             has_eligible = true;
@@ -247,7 +264,7 @@
     /// The slots of the endpoints that meet a requirement; none if one of them has no limit, or if
     /// there is none.
     pub(super) fn outlook(&self, requirement: &Requirement, now: Instant) -> Option<Outlook> {
-        let usable = |target: &Target| target.meets(requirement) && now >= target.ejected_until;
+        let usable = |target: &Target| target.meets(requirement) && !target.is_ejected(now);
         let mut usable = self.targets.iter().filter(|(_, target)| usable(target)).peekable();
         usable.peek()?;
         usable.try_fold(Outlook::default(), |outlook, (id, _)| self.limits.extend(id, now, outlook))
@@ -330,6 +347,8 @@
         target.last_progress = now;
         target.progressed = true;
         target.suspected_at = None;
+        target.stalled_until = Instant::default();
+        target.takeovers = 0;
     }
 
     /// Records the number of running and waiting requests that an endpoint stated in a response. It
@@ -341,24 +360,39 @@
             target.others_running.max(stated_load.saturating_sub(target.running));
     }
 
-    /// Finds the group heads that have requests in flight but have made no progress within the
-    /// stall timeout. Ejects them, marks them as suspected and returns their identities.
-    pub fn eject_stalled(&mut self, now: Instant) -> Vec<Name> {
-        let mut stalled = Vec::new();
-        for (id, target) in &mut self.targets {
-            if target.running == 0 || target.description.model.is_empty() {
-                continue;
-            }
-            let gap_timeout = Duration::from_secs_f64(target.average_gap_s * STALL_GAP_FACTOR);
-            let gap_timeout = gap_timeout.clamp(STALL_TIMEOUT_MIN, STALL_TIMEOUT_MAX);
-            let timeout = if target.responses_begun > 0 { gap_timeout } else { FIRST_PART_TIMEOUT };
-            if now.since(target.last_progress) > timeout {
-                target.suspected_at = Some(now);
-                target.ejected_until = target.ejected_until.max(now + EJECTION_MIN * 2);
-                stalled.push(id.clone());
-            }
+    /// The group heads that have requests in flight but have made no progress within the stall
+    /// timeout.
+    pub(super) fn silences(&self, now: Instant) -> Vec<Silence> {
+        let busy = self.targets.iter().filter(|(_, target)| target.running > 0);
+        let heads = busy.filter(|(_, target)| !target.description.model.is_empty());
+        let silent = heads.filter(|(_, target)| target.silence(now) > target.stall_timeout());
+        silent
+            .map(|(id, target)| Silence { endpoint: id.clone(), duration: target.silence(now) })
+            .collect()
+    }
+
+    /// Marks an endpoint as suspected, and sends it no requests for a time. Returns whether it was
+    /// not suspected before.
+    pub(super) fn suspect(&mut self, id: &Name, now: Instant) -> bool {
+        let Some(target) = self.targets.get_mut(id) else { return false };
+        target.stalled_until = target.stalled_until.max(now + STALL_EJECTION_MIN);
+        target.suspected_at.replace(now).is_none()
+    }
+
+    /// Records that another endpoint has taken over a request of an endpoint without progress. Each
+    /// one doubles the time for which that endpoint is sent no requests.
+    pub(super) fn record_takeover(&mut self, id: &Name, now: Instant) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.takeovers += 1;
+        let doubled = STALL_EJECTION_MIN * 2u32.pow(target.takeovers.min(4));
+        target.stalled_until = target.stalled_until.max(now + doubled.min(EJECTION_MAX));
+    }
+
+    /// Restarts the stall timeout of an endpoint from which nothing was read for a time.
+    pub(super) fn restart_stall_timer(&mut self, id: &Name, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.last_progress = now;
         }
-        stalled
     }
 
     /// Whether an endpoint has probably terminated: it is no longer in the view, or was unreachable
@@ -436,6 +470,8 @@
             failure_rate: 0.0,
             consecutive_failures: 0,
             ejected_until: Instant::default(),
+            stalled_until: Instant::default(),
+            takeovers: 0,
             suspected_at: None,
             unreachable_at: None,
         }
@@ -448,6 +484,25 @@
             && *self.description.model == *requirement.1
     }
 
+    /// Whether it is sent no requests, because of failures or since it makes no progress.
+    fn is_ejected(&self, now: Instant) -> bool {
+        now < self.ejected_until || now < self.stalled_until
+    }
+
+    /// Time since it last made progress.
+    fn silence(&self, now: Instant) -> Duration {
+        now.since(self.last_progress)
+    }
+
+    /// Time without progress after which it counts as stalled.
+    fn stall_timeout(&self) -> Duration {
+        if self.responses_begun == 0 {
+            return FIRST_PART_TIMEOUT;
+        }
+        let gaps = Duration::from_secs_f64(self.average_gap_s * STALL_GAP_FACTOR);
+        gaps.clamp(STALL_TIMEOUT_MIN, STALL_TIMEOUT_MAX)
+    }
+
     /// Number of requests of all entry daemons in flight there.
     fn load(&self) -> f64 {
         f64::from(self.running + self.others_running)
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use dotterelhoist_fleet::document::Limits;
-use dotterelhoist_fleet::entry::{Decision, Effect, End, Event, Reason, Refusal, Request, State};
+use dotterelhoist_fleet::entry::{
+    Attempt, Decision, Effect, End, Event, Reason, Refusal, Request, State,
+};
 use dotterelhoist_fleet::journal as log_events;
 use dotterelhoist_fleet::message::Hello;
 use dotterelhoist_fleet::Name;
@@ -18,12 +20,13 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock;
+use crate::exchange::Incoming;
 use crate::http::{accept_all, within, Connection, Error, RequestHead, ResponseHead};
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::protocol::Protocol;
-use crate::response::{parse_deadline, Incoming, Response};
+use crate::response::{parse_deadline, Response};
 use crate::upstream::Pool;
 
 pub use dotterelhoist_fleet::entry::Setup;
@@ -76,8 +79,8 @@
 struct RequestHandle {
     /// Decisions of the reducer about the request, in order.
     decisions: Sender<Decision>,
-    /// A message ends the current attempt; it is sent when the endpoint makes no progress.
-    abandon: Sender<()>,
+    /// Second attempts, to run beside the current one.
+    hedges: Sender<Attempt>,
 }
 
 /// The reducer of an entry daemon and what carries out its effects.
@@ -191,7 +194,7 @@
     Platform: Protocol,
 {
     /// Passes an event to the reducer and carries out the effects.
-    fn apply(&self, event: Event) {
+    pub(crate) fn apply(&self, event: Event) {
         let mut effects = Vec::new();
         self.state.borrow_mut().apply(clock::now(), event, &mut effects);
         for effect in effects {
@@ -216,14 +219,16 @@
                 if let Decision::Refuse(refusal) = &decision {
                     self.meter.count(&format!("refused.{}", refusal.reason));
                 }
-                if let Some(handle) = self.handles.borrow().get(&id) {
-                    handle.decisions.try_send(decision).ok();
-                }
-            }
-            Effect::Abandon(id) => {
-                self.meter.count("retried.stalled");
-                if let Some(handle) = self.handles.borrow().get(&id) {
-                    handle.abandon.try_send(()).ok();
+                let handles = self.handles.borrow();
+                let Some(handle) = handles.get(&id) else { return };
+                match decision {
+                    Decision::Hedge(attempt) => {
+                        self.meter.count("sent.hedge");
+                        handle.hedges.try_send(attempt).ok();
+                    }
+                    decision => {
+                        handle.decisions.try_send(decision).ok();
+                    }
                 }
             }
             Effect::Log(event) => journal::write(&event),
@@ -270,6 +275,11 @@
         self.state.borrow_mut().record_response_start(id);
     }
 
+    /// Records that a write to the caller of this request has started or ended.
+    pub(crate) fn record_write(&self, id: u64, in_progress: bool) {
+        self.state.borrow_mut().record_write(id, in_progress, clock::now());
+    }
+
     /// Limits for callers from the configuration document in force; the default limits if there is
     /// no document yet.
     fn limits(&self) -> Limits {
@@ -403,18 +413,15 @@
     /// response.
     async fn run_request(&self, response: &mut Response, incoming: &Incoming, request: Request) {
         let (decisions, decision_receiver) = bounded(4);
-        let (abandon, abandon_receiver) = bounded(1);
-        self.handles.borrow_mut().insert(incoming.id, RequestHandle { decisions, abandon });
+        let (hedges, hedge_receiver) = bounded(1);
+        self.handles.borrow_mut().insert(incoming.id, RequestHandle { decisions, hedges });
         self.meter.count("received");
         self.apply(Event::RequestArrived(Box::new(request)));
         while let Ok(decision) = decision_receiver.recv().await {
             match decision {
                 Decision::Send(attempt) => {
-                    // Discards a message that was meant for the previous attempt and came too late.
-                    while abandon_receiver.try_recv().is_ok() {}
                     self.meter.count(if attempt.number > 1 { "sent.again" } else { "sent.first" });
-                    let end =
-                        response.run_attempt(self, incoming, &attempt, &abandon_receiver).await;
+                    let end = response.run_attempt(self, incoming, attempt, &hedge_receiver).await;
                     let answered = end == End::Answered;
                     if !answered {
                         self.meter.count(&format!("attempt.{}", end_label(&end)));
@@ -432,6 +439,8 @@
                     response.send_refusal(header, &incoming.request_id, &refusal).await;
                     return;
                 }
+                // Sent to the current attempt by `carry_out`.
+                Decision::Hedge(_) => {}
                 Decision::ForwardFailure => {
                     response.send_error_response().await;
                     return;
@@ -483,6 +492,7 @@
         End::Declined { .. } => "declined",
         End::Lost { .. } => "lost",
         End::TimedOut { .. } => "timed_out",
+        End::Dropped => "dropped",
     }
 }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -21,6 +21,13 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether the caller has this event, if `last` is the id of the last one that it got.
+    pub(crate) fn is_known(&self, last: Option<u64>) -> bool {
+        self.id.is_some() && self.id <= last
+    }
+}
+
 impl Splitter {
     /// Appends bytes received from the stream.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,250 @@
+//! One attempt to get a response from an endpoint: sends the request and reads the response up to
+//! the first part that can be forwarded.
+
+use bytes::Bytes;
+use dotterelhoist_fleet::document::Kind;
+use dotterelhoist_fleet::entry::{Attempt, End};
+use dotterelhoist_fleet::Name;
+
+use crate::clock;
+use crate::entry::Shell;
+use crate::events::{Event, Splitter};
+use crate::http::{
+    is_hop_by_hop, push_header, BodyReader, Connection, Framing, RequestHead, ResponseHead,
+};
+use crate::protocol::Protocol;
+
+/// Longest head of an endpoint's response; a longer one ends the attempt as [`End::Lost`].
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Longest body of a response that is read completely before it is forwarded; a longer one ends the
+/// attempt as [`End::Lost`]. Event streams are not limited.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// A request as received from the caller.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    /// Number that is unique within this run of the daemon.
+    pub id: u64,
+    /// Id that the caller assigned.
+    pub request_id: Name,
+    /// Head as the caller sent it.
+    pub head: RequestHead,
+    /// Complete body.
+    pub body: Bytes,
+}
+
+/// A response of an endpoint, read as far as it has to be before it is forwarded.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    /// A successful response, complete.
+    Complete(Message),
+    /// A response with an error, complete.
+    Error(Message),
+    /// An event stream, up to an event that the caller does not have or to its end.
+    Stream(Box<EventStream>),
+}
+
+/// A response that was read completely.
+#[derive(Debug)]
+pub(crate) struct Message {
+    /// Head as the endpoint sent it.
+    pub head: ResponseHead,
+    /// Complete body.
+    pub body: Bytes,
+}
+
+/// An event stream that an endpoint sends.
+#[derive(Debug)]
+pub(crate) struct EventStream {
+    /// Head as the endpoint sent it.
+    pub head: ResponseHead,
+    /// Complete events that have been read and not yet been taken.
+    pub events: Vec<Event>,
+    /// Whether the endpoint has ended the stream.
+    pub ended: bool,
+    /// Id of the last event that was read, or that the caller had before.
+    last_event_id: Option<u64>,
+    connection: Connection,
+    body: BodyReader,
+    splitter: Splitter,
+}
+
+impl EventStream {
+    /// Reads until there are events to forward, or the stream ends. Events whose id is not above the
+    /// last one are skipped, because the caller has them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End::Lost`] if the stream breaks off.
+    pub(crate) async fn fill<Platform>(
+        &mut self,
+        shell: &Shell<Platform>,
+        target: &Name,
+    ) -> Result<(), End>
+    where
+        Platform: Protocol,
+    {
+        while self.events.is_empty() && !self.ended {
+            let part = self.connection.read_part(&mut self.body).await;
+            let part = part.map_err(|_| End::Lost { broken: true })?;
+            match part {
+                Some(part) => {
+                    shell.record_progress(target);
+                    self.splitter.push(&part);
+                }
+                None => self.ended = true,
+            }
+            self.split_events();
+        }
+        Ok(())
+    }
+
+    /// Moves the complete events to `events`; at the end of the stream also what follows them, as an
+    /// event without an id.
+    fn split_events(&mut self) {
+        while let Some(event) = self.splitter.next() {
+            if !event.is_known(self.last_event_id) {
+                self.last_event_id = event.id.or(self.last_event_id);
+                self.events.push(event);
+            }
+        }
+        let rest = if self.ended { self.splitter.take_rest() } else { Bytes::new() };
+        if !rest.is_empty() {
+            self.events.push(Event { bytes: rest, id: None });
+        }
+    }
+
+    /// Returns the connection to the pool, after the stream has ended.
+    pub(crate) fn release<Platform>(self, shell: &Shell<Platform>, attempt: &Attempt)
+    where
+        Platform: Protocol,
+    {
+        return_connection(shell, attempt, self.connection, &self.head);
+    }
+}
+
+/// Sends the request to an endpoint and reads its response. With `last_event_id`, a stream is resumed
+/// after that event.
+///
+/// # Errors
+///
+/// Returns how the attempt ended if there is nothing to forward. A response with a wrong or missing
+/// request id, without a signature or with a content encoding is [`End::Lost`].
+pub(crate) async fn fetch<Platform>(
+    shell: &Shell<Platform>,
+    incoming: &Incoming,
+    attempt: &Attempt,
+    last_event_id: Option<u64>,
+) -> Result<Reply, End>
+where
+    Platform: Protocol,
+{
+    let connection = shell.pool.connect(&attempt.address).await;
+    let mut connection = connection.ok_or(End::Unreachable)?;
+    let bytes = encode_request::<Platform>(incoming, attempt, last_event_id);
+    connection.write(&bytes).await.map_err(|_| End::Lost { broken: true })?;
+    let head = connection.read_response_head(&incoming.head.method, MAX_HEAD_BYTES).await;
+    let head = head.map_err(|_| End::Lost { broken: true })?;
+    shell.record_response_head(&attempt.target, &head);
+    let headers = &head.headers;
+    let echoed = headers.find(Platform::HEADERS.request_id);
+    let declined = headers.find(Platform::HEADERS.declined).is_some() || head.status == 421;
+    if echoed.is_some_and(|echoed| echoed != &*incoming.request_id) {
+        return Err(End::Lost { broken: false });
+    }
+    if declined {
+        let status = head.status;
+        if connection.read_body(head.framing, MAX_BODY_BYTES).await.is_ok() {
+            return_connection(shell, attempt, connection, &head);
+        }
+        return Err(End::Declined { status });
+    }
+    let has_required_headers =
+        headers.find(Platform::HEADERS.signature).is_some() && echoed.is_some();
+    if !has_required_headers || headers.find("content-encoding").is_some() {
+        return Err(End::Lost { broken: false });
+    }
+    let success = (200..300).contains(&head.status);
+    let is_event_stream = headers.find("content-type").is_some_and(|kind| {
+        kind.starts_with("text/event-stream") && attempt.route.kind == Kind::Streaming
+    });
+    if success && is_event_stream {
+        let mut stream = Box::new(EventStream {
+            body: BodyReader::new(head.framing),
+            head,
+            events: Vec::new(),
+            ended: false,
+            last_event_id,
+            connection,
+            splitter: Splitter::default(),
+        });
+        stream.fill(shell, &attempt.target).await?;
+        return Ok(Reply::Stream(stream));
+    }
+    let body = connection.read_body(head.framing, MAX_BODY_BYTES).await;
+    let body = body.map_err(|_| End::Lost { broken: true })?;
+    return_connection(shell, attempt, connection, &head);
+    let message = Message { head, body };
+    Ok(if success { Reply::Complete(message) } else { Reply::Error(message) })
+}
+
+/// Encodes the request to the endpoint: hop-by-hop headers and the caller's key are removed,
+/// and the headers for the endpoint are set. With `last_event_id`, the stream is resumed after it.
+fn encode_request<Platform>(
+    incoming: &Incoming,
+    attempt: &Attempt,
+    last_event_id: Option<u64>,
+) -> Vec<u8>
+where
+    Platform: Protocol,
+{
+    let names = Platform::HEADERS;
+    let removed_names =
+        [names.deadline, names.expected_instance, names.workspace, "authorization", "expect"];
+    let head = &incoming.head;
+    let mut bytes = Vec::with_capacity(1024 + incoming.body.len());
+    bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
+    for header in &head.headers.0 {
+        let name = &*header.name;
+        let replaced_by_resume =
+            last_event_id.is_some() && name.eq_ignore_ascii_case(names.last_event_id);
+        let removed = removed_names.iter().any(|removed| name.eq_ignore_ascii_case(removed));
+        if is_hop_by_hop(name)
+            || removed
+            || replaced_by_resume
+            || head.headers.list_contains("connection", name)
+        {
+            continue;
+        }
+        push_header(&mut bytes, name, &header.value);
+    }
+    let remaining_ms = attempt.deadline.since(clock::now()).as_millis();
+    push_header(&mut bytes, names.deadline, remaining_ms.to_string().as_bytes());
+    push_header(&mut bytes, names.expected_instance, attempt.target.as_bytes());
+    if let Some(workspace) = &attempt.workspace {
+        push_header(&mut bytes, names.workspace, workspace.as_bytes());
+    }
+    if let Some(last) = last_event_id {
+        push_header(&mut bytes, names.last_event_id, last.to_string().as_bytes());
+    }
+    if !incoming.body.is_empty() || head.framing != Framing::Length(0) {
+        push_header(&mut bytes, "Content-Length", incoming.body.len().to_string().as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(&incoming.body);
+    bytes
+}
+
+/// Returns a connection to the pool after its response has been read completely.
+fn return_connection<Platform>(
+    shell: &Shell<Platform>,
+    attempt: &Attempt,
+    connection: Connection,
+    head: &ResponseHead,
+) where
+    Platform: Protocol,
+{
+    if head.keep_alive {
+        shell.pool.put_back(&attempt.address, connection, head.headers.find("keep-alive"));
+    }
+}
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -511,6 +511,21 @@
     }
 }
 
+/// Appends a header line.
+pub(crate) fn push_header(bytes: &mut Vec<u8>, name: &str, value: &[u8]) {
+    bytes.extend_from_slice(name.as_bytes());
+    bytes.extend_from_slice(b": ");
+    bytes.extend_from_slice(value);
+    bytes.extend_from_slice(b"\r\n");
+}
+
+/// Appends a chunk in chunked transfer encoding.
+pub(crate) fn push_chunk(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
+
 /// Accepts connections for as long as the executor runs and serves each in its own task.
 pub async fn accept_all<Serve, Work>(
     listener: TcpListener,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod signals;
 
 mod events;
+mod exchange;
 mod orders;
 mod response;
 mod upstream;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,13 +1,12 @@
-//! Sends a caller's request to endpoints, in one or more attempts, and forwards the response to
-//! the caller.
+//! The response to a caller's request: forwards the responses of endpoints, in one or more attempts.
 
+use std::cell::Cell;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use dotterelhoist_core::clock::Instant;
-use dotterelhoist_fleet::document::Kind;
-use dotterelhoist_fleet::entry::{Attempt, End, Refusal};
-use dotterelhoist_fleet::Name;
+use dotterelhoist_fleet::entry::{Attempt, End, Event, Refusal};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use smol::channel::Receiver;
 use smol::net::TcpStream;
@@ -15,34 +14,46 @@
 
 use crate::clock;
 use crate::entry::Shell;
-use crate::events::Splitter;
-use crate::http::{is_hop_by_hop, BodyReader, Connection, Framing, RequestHead, ResponseHead};
+use crate::exchange::{fetch, EventStream, Incoming, Message, Reply};
+use crate::http::{is_hop_by_hop, push_chunk, push_header, Framing, ResponseHead};
 use crate::protocol::Protocol;
 
-/// Longest head of an endpoint's response; a longer one ends the attempt as [`End::Lost`].
-const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Longest body of a response that is read completely before it is forwarded; a longer one ends the
-/// attempt as [`End::Lost`]. Event streams are not limited.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Progress of the response to the caller, which the current attempt and the one beside it share.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Whether a part of the response has been sent, so that it can only be continued.
+    begun: Cell<bool>,
+    /// Id of the last event that was sent.
+    last_event_id: Cell<Option<u64>>,
+    /// Whether a write to the caller is in progress. Another attempt can't take over then, because a
+    /// part of a chunk may have been sent.
+    writing: Cell<bool>,
+    /// Number of writes to the caller so far.
+    writes: Cell<u64>,
+    /// Whether a second attempt runs.
+    hedging: Cell<bool>,
+}
 
-/// A request as received from the caller.
-#[derive(Debug)]
-pub(crate) struct Incoming {
-    /// Number that is unique within this run of the daemon.
-    pub id: u64,
-    /// Id that the caller assigned.
-    pub request_id: Name,
-    /// Head as the caller sent it.
-    pub head: RequestHead,
-    /// Complete body.
-    pub body: Bytes,
+/// A second attempt whose response has arrived or which has failed.
+struct Hedge {
+    attempt: Attempt,
+    reply: Result<Reply, End>,
+    /// Number of writes to the caller when the attempt began.
+    writes_before: u64,
 }
 
-/// An endpoint's error response, held until the reducer decides whether it is forwarded.
-#[derive(Debug)]
-struct ErrorResponse {
-    head: ResponseHead,
-    body: Bytes,
+/// What ended first while a second attempt could run.
+enum Outcome {
+    /// The current attempt.
+    Ended(End),
+    /// The second one, or it has something to forward.
+    Hedged(Hedge),
+}
+
+/// What the response continues with after the current attempt.
+struct Successor {
+    attempt: Attempt,
+    reply: Reply,
 }
 
 /// The response to a caller's request, across all attempts.
@@ -52,238 +63,197 @@
     stream: TcpStream,
     /// Whether the connection stays open after the response.
     pub keep_alive: bool,
-    /// Whether sending the response has begun, so that it can only be continued, not replaced.
-    begun: bool,
-    /// Whether a write to the caller is in progress. An attempt that ends meanwhile may have left
-    /// an incomplete chunk behind, so no other attempt can continue the response.
-    writing: bool,
-    /// Id of the last event that was forwarded to the caller.
-    last_event_id: Option<u64>,
-    /// The error response of the last attempt that ended as [`End::Failed`].
-    error_response: Option<ErrorResponse>,
+    progress: Rc<Progress>,
+    /// The error response of the last attempt that ended as [`End::Failed`], held until the reducer
+    /// decides whether it is forwarded.
+    error_response: Option<Message>,
 }
 
 impl Response {
     /// Prepares a response on the caller's connection; nothing is sent yet.
     pub(crate) fn open(stream: TcpStream, keep_alive: bool) -> Response {
-        Response {
-            stream,
-            keep_alive,
-            begun: false,
-            writing: false,
-            last_event_id: None,
-            error_response: None,
-        }
+        Response { stream, keep_alive, progress: Rc::default(), error_response: None }
     }
 
     /// Whether sending the response has begun, so that a refusal can only cut it off.
     pub(crate) fn has_begun(&self) -> bool {
-        self.begun
+        self.progress.begun.get()
     }
 
     /// Sends the request to an endpoint and forwards the response, until the deadline of the
-    /// attempt or a message on `abandon`. Returns how the attempt ended.
+    /// attempt. An attempt from `hedges` runs beside it; the one whose response arrives first goes
+    /// on. Returns how the last of them ended; the end of each other one is passed to the reducer.
     pub(crate) async fn run_attempt<Platform>(
         &mut self,
         shell: &Shell<Platform>,
         incoming: &Incoming,
-        attempt: &Attempt,
-        abandon: &Receiver<()>,
+        attempt: Attempt,
+        hedges: &Receiver<Attempt>,
     ) -> End
     where
         Platform: Protocol,
     {
-        let begun = self.begun;
-        let exchange = self.exchange(shell, incoming, attempt);
+        let deadline = attempt.deadline;
+        let attempts = async { Some(self.run_attempts(shell, incoming, attempt, hedges).await) };
         let timed_out = async {
-            Timer::after(attempt.deadline.since(clock::now())).await;
-            End::TimedOut { begun }
+            Timer::after(deadline.since(clock::now())).await;
+            None
         };
-        let abandoned = async {
-            if abandon.recv().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-            End::Lost { open: true, broken: false }
-        };
-        let end = exchange.or(abandoned).or(timed_out).await;
-        match end {
-            End::Lost { broken, .. } if self.writing => End::Lost { open: false, broken },
-            End::TimedOut { .. } => End::TimedOut { begun: self.begun },
-            end => end,
-        }
+        let end = attempts.or(timed_out).await;
+        end.unwrap_or_else(|| End::TimedOut { begun: self.has_begun() })
     }
 
-    /// Sends the request to an endpoint, checks the response and forwards it. An error response is
-    /// only stored, for [`Self::send_error_response`]. A response with a wrong or missing request
-    /// id, without a signature or with a content encoding ends the attempt as [`End::Lost`].
-    async fn exchange<Platform>(
+    /// Like [`Self::run_attempt`], without the deadline.
+    async fn run_attempts<Platform>(
         &mut self,
         shell: &Shell<Platform>,
         incoming: &Incoming,
-        attempt: &Attempt,
+        mut attempt: Attempt,
+        hedges: &Receiver<Attempt>,
     ) -> End
     where
         Platform: Protocol,
     {
-        let Some(mut connection) = shell.pool.connect(&attempt.address).await else {
-            return End::Unreachable;
-        };
-        let bytes = self.encode_request::<Platform>(incoming, attempt);
-        if connection.write(&bytes).await.is_err() {
-            return End::Lost { open: true, broken: true };
-        }
-        let head = match connection.read_response_head(&incoming.head.method, MAX_HEAD_BYTES).await
-        {
-            Ok(head) => head,
-            Err(_) => return End::Lost { open: true, broken: true },
-        };
-        shell.record_response_head(&attempt.target, &head);
-        let headers = &head.headers;
-        let echoed = headers.find(Platform::HEADERS.request_id);
-        let declined = headers.find(Platform::HEADERS.declined).is_some() || head.status == 421;
-        if echoed.is_some_and(|echoed| echoed != &*incoming.request_id) {
-            return End::Lost { open: true, broken: false };
-        }
-        if declined {
-            let status = head.status;
-            if connection.read_body(head.framing, MAX_BODY_BYTES).await.is_ok() {
-                return_connection(shell, attempt, connection, &head);
-            }
-            return End::Declined { status };
-        }
-        let success = (200..300).contains(&head.status);
-        let has_required_headers =
-            headers.find(Platform::HEADERS.signature).is_some() && echoed.is_some();
-        if !has_required_headers || headers.find("content-encoding").is_some() {
-            return End::Lost { open: true, broken: false };
-        }
-        let is_event_stream = headers.find("content-type").is_some_and(|kind| {
-            kind.starts_with("text/event-stream") && attempt.route.kind == Kind::Streaming
-        });
-        if success && is_event_stream {
-            return self.forward_events(shell, incoming, attempt, connection, head).await;
-        }
-        // Only an event stream can continue a response that has begun.
-        if self.begun {
-            return End::Lost { open: true, broken: false };
-        }
-        let Ok(body) = connection.read_body(head.framing, MAX_BODY_BYTES).await else {
-            return End::Lost { open: true, broken: true };
-        };
-        return_connection(shell, attempt, connection, &head);
-        if !success {
-            let status = head.status;
-            self.error_response = Some(ErrorResponse { head, body });
-            return End::Failed { status };
+        let id = incoming.id;
+        let progress = self.progress.clone();
+        progress.hedging.set(false);
+        let mut second = pin!(run_hedge(shell, incoming, &progress, hedges));
+        let mut reply = None;
+        loop {
+            let successor = {
+                let mut first = pin!(self.exchange(shell, incoming, &attempt, reply.take()));
+                loop {
+                    let ended = async { Outcome::Ended(first.as_mut().await) };
+                    let hedged = async { Outcome::Hedged(second.as_mut().await) };
+                    match ended.or(hedged).await {
+                        Outcome::Ended(end) => break Err(end),
+                        Outcome::Hedged(hedge) => {
+                            let takeover = hedge.take_over(&progress);
+                            progress.hedging.set(false);
+                            second.set(run_hedge(shell, incoming, &progress, hedges));
+                            match takeover {
+                                Ok(successor) => break Ok(successor),
+                                Err(end) => shell.apply(Event::HedgeEnded(id, end)),
+                            }
+                        }
+                    }
+                }
+            };
+            let successor = match successor {
+                Ok(successor) => {
+                    shell.apply(Event::HedgeAdopted(id));
+                    successor
+                }
+                Err(end) if end == End::Answered => return end,
+                Err(end) if !progress.hedging.get() && hedges.is_empty() => return end,
+                Err(end) => {
+                    shell.apply(Event::AttemptEnded(id, end));
+                    let hedge = second.as_mut().await;
+                    progress.hedging.set(false);
+                    second.set(run_hedge(shell, incoming, &progress, hedges));
+                    match hedge.reply {
+                        Ok(reply) => Successor { attempt: hedge.attempt, reply },
+                        Err(end) => return end,
+                    }
+                }
+            };
+            attempt = successor.attempt;
+            reply = Some(successor.reply);
         }
-        self.send_complete(&head, &body).await;
-        End::Answered
     }
 
-    /// Encodes the request to the endpoint: hop-by-hop headers and the caller's key are removed,
-    /// and the headers for the endpoint are set.
-    fn encode_request<Platform>(&self, incoming: &Incoming, attempt: &Attempt) -> Vec<u8>
+    /// Forwards the response of an endpoint: `reply` if its beginning has arrived, or else the
+    /// response to the request, which is sent first. An error response is only stored, for
+    /// [`Self::send_error_response`].
+    async fn exchange<Platform>(
+        &mut self,
+        shell: &Shell<Platform>,
+        incoming: &Incoming,
+        attempt: &Attempt,
+        reply: Option<Reply>,
+    ) -> End
     where
         Platform: Protocol,
     {
-        let names = Platform::HEADERS;
-        let removed_names =
-            [names.deadline, names.expected_instance, names.workspace, "authorization", "expect"];
-        let head = &incoming.head;
-        let mut bytes = Vec::with_capacity(1024 + incoming.body.len());
-        bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
-        for header in &head.headers.0 {
-            let name = &*header.name;
-            let replaced_by_resume =
-                self.last_event_id.is_some() && name.eq_ignore_ascii_case(names.last_event_id);
-            let removed = removed_names.iter().any(|removed| name.eq_ignore_ascii_case(removed));
-            if is_hop_by_hop(name)
-                || removed
-                || replaced_by_resume
-                || head.headers.list_contains("connection", name)
-            {
-                continue;
+        let reply = match reply {
+            Some(reply) => reply,
+            None => {
+                match fetch(shell, incoming, attempt, self.progress.last_event_id.get()).await {
+                    Ok(reply) => reply,
+                    Err(end) => return end,
+                }
+            }
+        };
+        match reply {
+            Reply::Stream(stream) => self.forward_events(shell, incoming, attempt, *stream).await,
+            // Only an event stream can continue a response that has begun.
+            _ if self.has_begun() => End::Lost { broken: false },
+            Reply::Complete(message) => {
+                self.send_complete(&message).await;
+                End::Answered
+            }
+            Reply::Error(message) => {
+                let status = message.head.status;
+                self.error_response = Some(message);
+                End::Failed { status }
             }
-            push_header(&mut bytes, name, &header.value);
-        }
-        let remaining_ms = attempt.deadline.since(clock::now()).as_millis();
-        push_header(&mut bytes, names.deadline, remaining_ms.to_string().as_bytes());
-        push_header(&mut bytes, names.expected_instance, attempt.target.as_bytes());
-        if let Some(workspace) = &attempt.workspace {
-            push_header(&mut bytes, names.workspace, workspace.as_bytes());
-        }
-        if let Some(last) = self.last_event_id {
-            push_header(&mut bytes, names.last_event_id, last.to_string().as_bytes());
-        }
-        if !incoming.body.is_empty() || head.framing != Framing::Length(0) {
-            push_header(&mut bytes, "Content-Length", incoming.body.len().to_string().as_bytes());
         }
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&incoming.body);
-        bytes
     }
 
-    /// Forwards a stream event by event. Events whose id is not above that of the last forwarded
-    /// event are skipped, because an earlier attempt has forwarded them.
+    /// Forwards a stream event by event.
     async fn forward_events<Platform>(
         &mut self,
         shell: &Shell<Platform>,
         incoming: &Incoming,
         attempt: &Attempt,
-        mut connection: Connection,
-        head: ResponseHead,
+        mut stream: EventStream,
     ) -> End
     where
         Platform: Protocol,
     {
-        let mut body = BodyReader::new(head.framing);
-        let mut splitter = Splitter::default();
-        let mut out = BytesMut::new();
         loop {
-            let part = connection.read_part(&mut body).await;
-            let Ok(part) = part else { return End::Lost { open: true, broken: true } };
-            let Some(part) = part else { break };
-            splitter.push(&part);
-            shell.record_progress(&attempt.target);
-            while let Some(event) = splitter.next() {
-                let already_sent = event.id.is_some() && event.id <= self.last_event_id;
-                if already_sent {
-                    continue;
-                }
-                self.last_event_id = event.id.or(self.last_event_id);
-                push_chunk(&mut out, &event.bytes);
+            let bytes = self.encode_events(&mut stream);
+            if !bytes.is_empty() {
+                shell.record_response_start(incoming.id);
+                shell.record_write(incoming.id, true);
+                self.send(&bytes).await;
+                shell.record_write(incoming.id, false);
             }
-            if out.is_empty() {
-                continue;
+            if stream.ended {
+                stream.release(shell, attempt);
+                return End::Answered;
             }
-            shell.record_response_start(incoming.id);
-            if !self.begun {
-                let mut first = encode_head(&head, Framing::Chunked, self.keep_alive);
-                first.extend_from_slice(&out);
-                out = BytesMut::from(&first[..]);
-                self.begun = true;
+            if let Err(end) = stream.fill(shell, &attempt.target).await {
+                return end;
             }
-            self.send(&out).await;
-            out.clear();
         }
-        let rest = splitter.take_rest();
-        if !self.begun {
-            out.extend_from_slice(&encode_head(&head, Framing::Chunked, self.keep_alive));
-            self.begun = true;
+    }
+
+    /// Takes the events that the caller does not have from a stream and encodes them, after the head
+    /// if the response has not begun, and before the last chunk if the stream has ended.
+    fn encode_events(&mut self, stream: &mut EventStream) -> Vec<u8> {
+        let mut last_event_id = self.progress.last_event_id.get();
+        let mut bytes = match self.has_begun() {
+            true => Vec::new(),
+            false => encode_head(&stream.head, Framing::Chunked, self.keep_alive),
+        };
+        for event in stream.events.drain(..) {
+            if !event.is_known(last_event_id) {
+                last_event_id = event.id.or(last_event_id);
+                push_chunk(&mut bytes, &event.bytes);
+            }
         }
-        if !rest.is_empty() {
-            push_chunk(&mut out, &rest);
+        if stream.ended {
+            bytes.extend_from_slice(b"0\r\n\r\n");
         }
-        out.extend_from_slice(b"0\r\n\r\n");
-        self.send(&out).await;
-        return_connection(shell, attempt, connection, &head);
-        End::Answered
+        self.progress.last_event_id.set(last_event_id);
+        bytes
     }
 
     /// Forwards the held error response of an endpoint.
     pub(crate) async fn send_error_response(&mut self) {
-        if let Some(ErrorResponse { head, body }) = self.error_response.take() {
-            self.send_complete(&head, &body).await;
+        if let Some(message) = self.error_response.take() {
+            self.send_complete(&message).await;
         }
     }
 
@@ -295,7 +265,7 @@
         request_id: &str,
         refusal: &Refusal,
     ) {
-        if self.begun {
+        if self.has_begun() {
             self.keep_alive = false;
             return;
         }
@@ -315,15 +285,14 @@
             "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         ));
-        self.begun = true;
         self.send(head.as_bytes()).await;
     }
 
     /// Sends a response whose body has been read completely.
-    async fn send_complete(&mut self, head: &ResponseHead, body: &[u8]) {
+    async fn send_complete(&mut self, message: &Message) {
+        let Message { head, body } = message;
         let mut bytes = encode_head(head, Framing::Length(body.len() as u64), self.keep_alive);
         bytes.extend_from_slice(body);
-        self.begun = true;
         self.send(&bytes).await;
     }
 
@@ -331,27 +300,45 @@
     /// disconnected; `wait_for_disconnect`, which runs concurrently while a request is handled,
     /// then ends the request.
     async fn send(&mut self, bytes: &[u8]) {
-        self.writing = true;
+        let progress = &self.progress;
+        progress.begun.set(true);
+        progress.writes.set(progress.writes.get() + 1);
+        progress.writing.set(true);
         if self.stream.write_all(bytes).await.is_err() {
             self.keep_alive = false;
             std::future::pending::<()>().await;
         }
-        self.writing = false;
+        self.progress.writing.set(false);
+    }
+}
+
+impl Hedge {
+    /// The response with which this attempt takes over from the current one, or how it ends: it has
+    /// failed, or the current one has sent something to the caller meanwhile.
+    fn take_over(self, progress: &Progress) -> Result<Successor, End> {
+        match self.reply? {
+            Reply::Error(message) => Err(End::Failed { status: message.head.status }),
+            _ if progress.writes.get() != self.writes_before => Err(End::Dropped),
+            reply => Ok(Successor { attempt: self.attempt, reply }),
+        }
     }
 }
 
-/// Returns a connection to the pool after its response has been read completely.
-fn return_connection<Platform>(
+/// Waits for a second attempt and runs it until its response can be forwarded.
+async fn run_hedge<Platform>(
     shell: &Shell<Platform>,
-    attempt: &Attempt,
-    connection: Connection,
-    head: &ResponseHead,
-) where
+    incoming: &Incoming,
+    progress: &Progress,
+    hedges: &Receiver<Attempt>,
+) -> Hedge
+where
     Platform: Protocol,
 {
-    if head.keep_alive {
-        shell.pool.put_back(&attempt.address, connection, head.headers.find("keep-alive"));
-    }
+    let Ok(attempt) = hedges.recv().await else { return std::future::pending().await };
+    progress.hedging.set(true);
+    let writes_before = progress.writes.get();
+    let reply = fetch(shell, incoming, &attempt, progress.last_event_id.get()).await;
+    Hedge { attempt, reply, writes_before }
 }
 
 /// Encodes the head of the response to the caller: the endpoint's head without its hop-by-hop
@@ -379,20 +366,6 @@
     bytes
 }
 
-fn push_header(bytes: &mut Vec<u8>, name: &str, value: &[u8]) {
-    bytes.extend_from_slice(name.as_bytes());
-    bytes.extend_from_slice(b": ");
-    bytes.extend_from_slice(value);
-    bytes.extend_from_slice(b"\r\n");
-}
-
-/// Appends a chunk in chunked transfer encoding.
-fn push_chunk(out: &mut BytesMut, bytes: &[u8]) {
-    out.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
-    out.extend_from_slice(bytes);
-    out.extend_from_slice(b"\r\n");
-}
-
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -167,6 +167,22 @@
     deployment.check_run_counts();
 }
 
+/// The engine of a stream falls silent for good, though its connections stay open: another one must
+/// continue the stream without a gap and without an event twice.
+#[test]
+fn stream_whose_engine_falls_silent_for_good_is_continued_by_another() {
+    let deployment = Deployment::start();
+    deployment.silence.abandon("s0");
+    let kind = Kind::Stream { events: LONG_STREAM_EVENTS };
+    let exchange = deployment.request_in_background("s0", kind).join();
+    let exchange = exchange.expect("the caller's thread does not panic");
+    let all: Vec<u64> = (1..=LONG_STREAM_EVENTS).collect();
+    let is_complete =
+        |reply: &Reply| reply.status == 200 && deployment::event_ids(&reply.body) == all;
+    assert_eq!(outcome(&exchange, is_complete), "complete");
+    deployment.check_run_counts();
+}
+
 /// Like the streams above, for bookings whose service answers a second late.
 #[test]
 fn booking_beside_a_document_change_is_answered_although_its_service_pauses() {
