Test: a group whose member is silent for a moment keeps its streams

Fails on this code: 24 of 24 cases of group_whose_member_is_silent_for_a_moment_keeps_its_streams, with the head or another member silent for 1.0 or 1.5 s at four phases of its heartbeat. One unanswered probe dissolves the group and orders its head to cancel:

[Order { endpoint: "e00", task: Close { group: "g4", epoch: 4, cancel: true } }, Order { endpoint: "e00", task: Leave { group: "g4", epoch: 4 } }]

--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -28,6 +28,8 @@
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(4000);
 const WARM_LOAD: Duration = Duration::from_millis(1500);
 const COLD_LOAD: Duration = Duration::from_millis(12_000);
+/// Time after which a probe of a silent engine ends without an answer.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 pub const LARGE: &str = "large";
 pub const SMALL: &str = "small";
 
@@ -104,6 +106,8 @@
     pub dead: bool,
     /// Whether it is partitioned from the control daemons; connections to it are reset.
     pub partitioned: bool,
+    /// Whether it makes no progress and answers nothing; connections to it are accepted.
+    pub silent: bool,
     pub membership: Option<Membership>,
     members: Vec<Name>,
     /// When the model is loaded; for an open head, when its group was last complete.
@@ -153,8 +157,12 @@
     pub versions_stated: Vec<(Name, u64)>,
     /// Number of documents that the control daemons have read.
     pub reads: Rc<Cell<usize>>,
+    /// Orders to close or leave a group that were sent to endpoints.
+    pub releases: Vec<Order>,
     /// Events that control daemons receive in the next step.
     inbox: Vec<(Name, Event)>,
+    /// Events that control daemons receive later, and when.
+    delayed_events: Vec<(Instant, Name, Event)>,
     /// Orders to execute later, and when.
     delayed_orders: Vec<(Instant, Order)>,
     /// Members that have ever been ready, with group and epoch.
@@ -191,7 +199,9 @@
             documents_sent: Vec::new(),
             versions_stated: Vec::new(),
             reads: Rc::default(),
+            releases: Vec::new(),
             inbox: Vec::new(),
+            delayed_events: Vec::new(),
             delayed_orders: Vec::new(),
             seen_ready: BTreeSet::new(),
             rng_state: 0x9e37_79b9_7f4a_7c15,
@@ -215,6 +225,7 @@
             sequence: 0,
             dead: false,
             partitioned: false,
+            silent: false,
             membership: None,
             members: Vec::new(),
             ready_at: self.now,
@@ -391,6 +402,13 @@
         }
     }
 
+    /// Makes an engine fall silent, or go on.
+    pub fn set_silent(&mut self, id: &Name, silent: bool) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.silent = silent;
+        }
+    }
+
     /// Deregisters an engine, which keeps serving for two seconds.
     pub fn deregister(&mut self, id: &Name) {
         let end = self.now + Duration::from_secs(2);
@@ -419,6 +437,13 @@
         for (to, event) in std::mem::take(&mut self.inbox) {
             self.apply(&to, event);
         }
+        for (at, to, event) in std::mem::take(&mut self.delayed_events) {
+            if at > self.now {
+                self.delayed_events.push((at, to, event));
+            } else {
+                self.apply(&to, event);
+            }
+        }
         for name in daemon_names() {
             self.rng_state = self.rng_state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
             let random = self.rng_state >> 33;
@@ -477,12 +502,20 @@
                     self.inbox.push((name.clone(), Event::Persisted(sequence)));
                 }
                 Effect::Order(order) => {
+                    if matches!(order.task, Task::Close { .. } | Task::Leave { .. }) {
+                        self.releases.push(order.clone());
+                    }
                     let outcome = self.deliver(&order);
                     let ticket = order.ticket;
                     self.inbox.push((name.clone(), Event::OrderFinished { ticket, outcome }));
                 }
                 Effect::Probe { id, .. } => {
                     let engine = self.engines.get(&id);
+                    if engine.is_some_and(|engine| engine.silent) {
+                        let event = Event::ProbeFinished { id, heartbeat: None, refused: false };
+                        self.delayed_events.push((self.now + PROBE_TIMEOUT, name.clone(), event));
+                        continue;
+                    }
                     let found = engine.filter(|engine| !engine.dead && !engine.partitioned);
                     let refused = engine.is_some_and(|engine| engine.partitioned);
                     let heartbeat = found.map(|engine| Box::new(engine.heartbeat()));
@@ -504,7 +537,7 @@
         if engine.partitioned {
             return Outcome::Refused;
         }
-        if engine.dead {
+        if engine.dead || engine.silent {
             return Outcome::Unanswered;
         }
         if self.delay_orders {
@@ -641,7 +674,7 @@
         if engine.stops_at.is_some_and(|at| now >= at) {
             engine.dead = true;
         }
-        if engine.dead {
+        if engine.dead || engine.silent {
             return;
         }
         if engine.copying.as_ref().is_some_and(|(_, done)| now >= *done) {
@@ -688,7 +721,7 @@
             let member = &self.engines[member];
             let same =
                 member.membership.as_ref().is_some_and(|membership| membership.epoch == own.epoch);
-            same && !member.dead
+            same && !member.dead && !member.silent
         })
     }
 }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -9,7 +9,7 @@
 
 mod cluster;
 
-use self::cluster::{daemon_names, Cluster, Shape};
+use self::cluster::{daemon_names, Cluster, Shape, STALL_TIMEOUT};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -604,3 +604,70 @@
     assert!(!cluster.heads().iter().any(|head| cluster.members(head).contains(&member)));
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
+
+/// Time after which an entry daemon suspects a head that has fallen silent.
+const SUSPECTED_AFTER: Duration = Duration::from_millis(400);
+/// Time for which an entry daemon goes on to suspect a head that makes progress again.
+const SUSPICION_TTL: Duration = Duration::from_millis(600);
+/// Time within which a group must be dissolved after a member has fallen silent for good.
+const SILENCE_BOUND: Duration = STALL_TIMEOUT.checked_div(4).expect("not zero").saturating_mul(3);
+/// Time within which a group must be dissolved after the address of a member refuses connections.
+const REFUSAL_BOUND: Duration = Duration::from_millis(1500);
+
+/// A sound engine may pause; its group must not lose the streams that it runs.
+#[rstest]
+fn group_whose_member_is_silent_for_a_moment_keeps_its_streams(
+    #[values(0, 1, 3)] position: usize,
+    #[values(1000, 1500)] silent_ms: u64,
+    #[values(0, 300, 600, 900)] phase_ms: u64,
+) {
+    let mut cluster = serving_cluster(2);
+    cluster.run(Duration::from_millis(phase_ms));
+    let head = cluster.head_of_size(4);
+    let members = cluster.members(&head);
+    cluster.releases.clear();
+    cluster.set_silent(&members[position], true);
+    cluster.run(SUSPECTED_AFTER);
+    cluster.suspects = vec![head.to_string()];
+    cluster.run(Duration::from_millis(silent_ms) - SUSPECTED_AFTER);
+    cluster.set_silent(&members[position], false);
+    cluster.run(SUSPICION_TTL);
+    cluster.suspects.clear();
+    cluster.run(SECOND * 6);
+    assert!(cluster.releases.is_empty(), "{:?}", cluster.releases);
+    assert_eq!(cluster.members(&head), members);
+    assert!(cluster.heads().contains(&head), "the head is not open");
+    assert!(cluster.heads_in_view.contains(&head), "the head is not in the view");
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
+#[rstest]
+#[case::head_silent(0, false, SILENCE_BOUND)]
+#[case::member_silent(2, false, SILENCE_BOUND)]
+#[case::head_refusing(0, true, REFUSAL_BOUND)]
+#[case::member_refusing(2, true, REFUSAL_BOUND)]
+fn group_whose_member_fails_for_good_is_dissolved(
+    #[case] position: usize,
+    #[case] refusing: bool,
+    #[case] bound: Duration,
+) {
+    let mut cluster = serving_cluster(2);
+    let head = cluster.head_of_size(4);
+    let failed = cluster.members(&head)[position].clone();
+    cluster.releases.clear();
+    if let Some(engine) = cluster.engines.get_mut(&failed) {
+        engine.silent = !refusing;
+        engine.partitioned = refusing;
+    }
+    let failed_at = cluster.now;
+    cluster.run(SUSPECTED_AFTER);
+    cluster.suspects = vec![head.to_string()];
+    let dissolved = |cluster: &Cluster| !cluster.releases.is_empty();
+    assert!(
+        cluster.run_until(bound - SUSPECTED_AFTER, dissolved),
+        "the group is not dissolved after {bound:?}"
+    );
+    println!("dissolved after {:?}", cluster.now.since(failed_at));
+    assert!(!cluster.heads_in_view.contains(&head), "the head is still in the view");
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
