Dissolve a group for a lasting silence, not for one unanswered probe

Cause: an entry daemon suspects a head after 350 ms without progress; the leader then probes all members, and a single probe unanswered for 300 ms dissolved the group, with an order to its head to cancel. A sound endpoint that paused for a second lost its group and all its streams. In a group that drained, one unanswered probe of the head made its other members leave.

Change: an unanswered probe begins an outage of the endpoint, which is a suspicion: the leader leaves the head out of its view unless it has made progress since, plans no new work for the endpoint, and probes it every 300 ms. The endpoint has failed when probes over SILENCE_MAX (1.2 s, after the 300 ms that the first one waited) were unanswered and its head made no progress meanwhile, or when its address refuses a connection; only then is the group dissolved, or the head of a dissolving group passed over. The loss timeout is unchanged. An answer or a heartbeat ends the outage.

The test of the draining group was seen to fail with the suspicion in place of the failure in dissolving.rs.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -456,14 +456,13 @@
         let Some(endpoint) = self.endpoints.find_mut(id) else { return };
         if let Some(heartbeat) = heartbeat {
             endpoint.last_seen = now;
-            endpoint.unreachable_at = None;
+            endpoint.outage = None;
             endpoint.heartbeat.membership = heartbeat.membership;
             endpoint.heartbeat.staged = heartbeat.staged;
             return;
         }
         let since = self.reachability.reachable_since(&endpoint.heartbeat.zone);
-        if endpoint.unreachable_at.is_none_or(|at| at < since) {
-            endpoint.unreachable_at = Some(now);
+        if endpoint.record_failure(now, since, refused) {
             let detail =
                 format!("refused={refused} age_ms={}", now.since(endpoint.last_seen).as_millis());
             let event = journal::Event::new(211, "endpoint does not answer", &**id, detail);
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -357,10 +357,13 @@
                 targets.extend(self.target_from_replicated_state(now, group, head));
                 continue;
             };
-            let progress = self.distributor.progress.get(&*head.id);
-            let makes_progress = progress.is_some_and(|at| now.since(*at) < REPORT_TTL);
             let open = endpoint.heartbeat.stage_in(&group.name, group.epoch) == Some(Stage::Open);
             let since = self.reachability.reachable_since(&endpoint.heartbeat.zone);
+            let outage = endpoint.outage_since(since);
+            let progress = self.distributor.progress.get(&*head.id);
+            let makes_progress = progress.is_some_and(|at| {
+                now.since(*at) < REPORT_TTL && outage.is_none_or(|outage| *at > outage.since)
+            });
             let alive = endpoint.is_alive_since(now, ENDPOINT_TTL, since) || makes_progress;
             let alive = alive && !endpoint.heartbeat.draining;
             let reachable = !self.reachability.is_unreachable(&endpoint.heartbeat.zone, now);
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -18,6 +18,32 @@
 /// member, which only keeps the model in memory.
 pub(super) const STANDBY_PREFIX: &str = "standby-";
 
+/// Time between the first unanswered probe of an endpoint, or a later progress of its group's head,
+/// and another unanswered probe, from which on the endpoint counts as failed. A sound endpoint may
+/// pause for a second or so, and the first probe has waited for its answer before.
+const SILENCE_MAX: Duration = Duration::from_millis(1200);
+
+/// A period in which an endpoint has not responded. It is a suspicion, which keeps new work away
+/// from the endpoint, until [`Outage::is_failure`].
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// When a probe or an order first failed to reach the endpoint.
+    pub since: Instant,
+    /// When one last failed to reach it.
+    pub last_failure: Instant,
+    /// Whether its address refused a connection, or another endpoint answered there.
+    pub refused: bool,
+}
+
+impl Outage {
+    /// Whether the endpoint has failed: its address refuses connections, or it has been silent for
+    /// longer than a sound endpoint is. `progressed_at` is the last progress of its group's head.
+    pub fn is_failure(&self, progressed_at: Option<Instant>) -> bool {
+        let silent_since = progressed_at.map_or(self.since, |at| at.max(self.since));
+        self.refused || self.last_failure.since(silent_since) >= SILENCE_MAX
+    }
+}
+
 /// What this daemon knows about an endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -25,8 +51,8 @@
     pub heartbeat: Heartbeat,
     /// When it last sent a heartbeat or answered a probe.
     pub last_seen: Instant,
-    /// When a probe or an order failed to reach it; cleared by its next heartbeat or probe answer.
-    pub unreachable_at: Option<Instant>,
+    /// Its failures to respond since its last heartbeat or probe answer.
+    pub outage: Option<Outage>,
     /// Model of the last group in which it was ready, in its current incarnation.
     pub last_served: Option<Name>,
     /// Whether another endpoint has started at its address, which proves that it has terminated. A
@@ -52,7 +78,7 @@
             let restarted = heartbeat.started_unix_ms != endpoint.heartbeat.started_unix_ms;
             endpoint.heartbeat = heartbeat;
             endpoint.last_seen = endpoint.last_seen.max(last_seen);
-            endpoint.unreachable_at = None;
+            endpoint.outage = None;
             if restarted {
                 endpoint.last_served = None;
                 endpoint.confirmed_dead = false;
@@ -72,7 +98,7 @@
         let endpoint = Endpoint {
             heartbeat,
             last_seen,
-            unreachable_at: None,
+            outage: None,
             last_served: None,
             confirmed_dead: false,
         };
@@ -112,7 +138,8 @@
 
 impl Endpoint {
     /// Whether it was last seen less than `timeout` ago, has not terminated or deregistered, and
-    /// has not been found unreachable since.
+    /// has no outage. Suffices for decisions that can be taken back; others need
+    /// [`Endpoint::has_failed`].
     pub fn is_alive(&self, now: Instant, timeout: Duration) -> bool {
         self.is_alive_since(now, timeout, Instant::default())
     }
@@ -120,8 +147,38 @@
     /// Like [`Endpoint::is_alive`], but disregards missing heartbeats and failed probes from before
     /// `since`, the time at which its zone became reachable again.
     pub fn is_alive_since(&self, now: Instant, timeout: Duration, since: Instant) -> bool {
-        let unreachable = self.unreachable_at.is_some_and(|at| at >= since);
-        !self.heartbeat.gone && !unreachable && now.since(self.last_seen.max(since)) < timeout
+        let recently_seen = now.since(self.last_seen.max(since)) < timeout;
+        !self.heartbeat.gone && self.outage_since(since).is_none() && recently_seen
+    }
+
+    /// Its outage, unless that began before `since`.
+    pub fn outage_since(&self, since: Instant) -> Option<Outage> {
+        self.outage.filter(|outage| outage.since >= since)
+    }
+
+    /// Whether it has failed since `since`: it was not seen for `timeout`, or its outage is a
+    /// failure. `progressed_at` is the last progress of its group's head.
+    pub fn has_failed(
+        &self,
+        now: Instant,
+        timeout: Duration,
+        since: Instant,
+        progressed_at: Option<Instant>,
+    ) -> bool {
+        let outage = self.outage_since(since);
+        outage.is_some_and(|outage| outage.is_failure(progressed_at))
+            || now.since(self.last_seen.max(since)) >= timeout
+    }
+
+    /// Records that a probe or an order did not reach it. Returns whether that began an outage; one
+    /// from before `since` is over.
+    pub fn record_failure(&mut self, now: Instant, since: Instant, refused: bool) -> bool {
+        let current = self.outage_since(since);
+        let mut outage = current.unwrap_or(Outage { since: now, last_failure: now, refused });
+        outage.last_failure = now;
+        outage.refused |= refused;
+        self.outage = Some(outage);
+        current.is_none()
     }
 
     /// Model that it has in memory, so that it can serve it again soonest: that of the standby group
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -54,8 +54,11 @@
 const HEAD_RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after the last progress of a head for which all members of its group count as alive.
 const PROGRESS_TTL: Duration = Duration::from_millis(1500);
-/// Minimum time between two probes of one endpoint.
+/// Minimum time between two probes of an endpoint that answers.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
+/// Minimum time between two probes of an endpoint that does not answer, so that it is soon noticed
+/// when it goes on.
+const SILENT_PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Times that depend on the deployment.
 #[derive(Clone, Copy, Debug)]
@@ -254,7 +257,7 @@
         effects.push(Effect::Log(journal::Event::new(231, "order ended", &**id, detail)));
         if outcome == Outcome::Refused {
             if let Some(endpoint) = endpoints.find_mut(id) {
-                endpoint.unreachable_at.get_or_insert(now);
+                endpoint.record_failure(now, Instant::default(), true);
             }
         }
         let Some(state) = self.groups.get_mut(&pending.group) else { return };
@@ -272,7 +275,8 @@
     }
 
     /// Probes members that are silent, and all members of groups whose head is suspected by entry
-    /// daemons. Members are not probed while the head makes progress, or while their zone may be
+    /// daemons, unless the head makes progress. A member that did not answer is probed until it
+    /// does, or its address refuses the connection. Members are not probed while their zone may be
     /// unreachable.
     fn probe_members(&mut self, inputs: &mut Inputs<'_>, effects: &mut Vec<Effect>) {
         let now = inputs.now;
@@ -288,11 +292,17 @@
                 let zone = &endpoint.heartbeat.zone;
                 let since = inputs.reachability.reachable_since(zone);
                 let silent = now.since(endpoint.last_seen.max(since)) > self.times.probe_after();
-                let needs_probe =
-                    (silent || suspected) && !makes_progress && !endpoint.heartbeat.gone;
-                let already_unreachable = endpoint.unreachable_at.is_some_and(|at| at >= since);
-                let skip = already_unreachable || inputs.reachability.may_be_unreachable(zone, now);
-                if needs_probe && !skip && !self.probed_at.contains_key(&id) {
+                let outage = endpoint.outage_since(since);
+                let needs_probe = match outage {
+                    Some(outage) => !outage.refused,
+                    None => (silent || suspected) && !makes_progress,
+                };
+                let skip =
+                    endpoint.heartbeat.gone || inputs.reachability.may_be_unreachable(zone, now);
+                let interval =
+                    if outage.is_some() { SILENT_PROBE_INTERVAL } else { PROBE_INTERVAL };
+                let recent = self.probed_at.get(&id).is_some_and(|at| now.since(*at) < interval);
+                if needs_probe && !skip && !recent {
                     self.probed_at.insert(id.clone(), now);
                     let address = endpoint.heartbeat.address.as_str().into();
                     effects.push(Effect::Probe { id, address });
@@ -395,8 +405,8 @@
             if endpoint.heartbeat.draining || endpoint.heartbeat.gone {
                 return Some(DissolutionReason::Draining);
             }
-            let zone_silent_since_failure = endpoint.unreachable_at.is_some_and(|at| {
-                !inputs.reachability.had_contact_after(&endpoint.heartbeat.zone, at)
+            let zone_silent_since_failure = endpoint.outage.is_some_and(|outage| {
+                !inputs.reachability.had_contact_after(&endpoint.heartbeat.zone, outage.since)
             });
             if zone_silent_since_failure
                 || inputs.reachability.may_be_unreachable(&endpoint.heartbeat.zone, now)
@@ -404,8 +414,10 @@
                 continue;
             }
             let since = inputs.reachability.reachable_since(&endpoint.heartbeat.zone);
-            let alive = endpoint.is_alive_since(now, self.times.loss_timeout(), since);
-            if !alive && !makes_progress {
+            let progressed_at = inputs.progress.get(&head).copied();
+            let loss_timeout = self.times.loss_timeout();
+            let failed = endpoint.has_failed(now, loss_timeout, since, progressed_at);
+            if failed && !makes_progress {
                 return Some(DissolutionReason::Silent);
             }
         }
@@ -516,7 +528,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 enum DissolutionReason {
-    /// A member is unknown, unreachable, or was not seen for [`Times::loss_timeout`].
+    /// A member is unknown, or has failed (see [`Endpoint::has_failed`]).
+    ///
+    /// [`Endpoint::has_failed`]: super::endpoints::Endpoint::has_failed
     Silent,
     /// A member has restarted.
     Reborn,
--- a/crates/fleet/src/control/planner/dissolving.rs
+++ b/crates/fleet/src/control/planner/dissolving.rs
@@ -45,12 +45,12 @@
             return;
         }
         let graceful = group.graceful && now.since(dissolving_since) < GRACEFUL_CLOSE_TIMEOUT;
+        let progressed_at = inputs.progress.get(&*head.id).copied();
         let head_responds = inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
             let recently_seen = now.since(endpoint.last_seen) < self.times.loss_timeout()
                 || endpoint.heartbeat.gone;
-            endpoint.heartbeat.started_unix_ms == head.started_unix_ms
-                && endpoint.unreachable_at.is_none()
-                && recently_seen
+            let failed = endpoint.outage.is_some_and(|outage| outage.is_failure(progressed_at));
+            endpoint.heartbeat.started_unix_ms == head.started_unix_ms && !failed && recently_seen
         });
         let head_timeout = if group.graceful {
             GRACEFUL_CLOSE_TIMEOUT + HEAD_RELEASE_TIMEOUT
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -671,3 +671,20 @@
     assert!(!cluster.heads_in_view.contains(&head), "the head is still in the view");
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
+
+/// Without its other members the head would break off the requests that it may still finish.
+#[test]
+fn group_that_drains_keeps_its_members_while_its_head_is_silent_for_a_moment() {
+    let mut cluster = serving_cluster(2);
+    let head = cluster.head_of_size(4);
+    let draining = cluster.members(&head)[3].clone();
+    cluster.releases.clear();
+    cluster.deregister(&draining);
+    cluster.set_silent(&head, true);
+    cluster.run(SUSPECTED_AFTER);
+    cluster.suspects = vec![head.to_string()];
+    cluster.run(Duration::from_millis(1500) - SUSPECTED_AFTER);
+    let to_others = cluster.releases.iter().filter(|order| order.endpoint != head);
+    assert_eq!(to_others.count(), 0, "{:?}", cluster.releases);
+    assert!(!cluster.releases.is_empty(), "the group is not dissolved");
+}
