Silence counts as a crash only if the endpoint stays away

Cause: a response that another endpoint had to complete was recorded like one whose connection broke, and an endpoint that is not in the view counts as terminated. A head leaves the view of the leader for a moment since an unanswered probe is a suspicion, so a sound endpoint that paused added a crash to each request taken over from it; with three, a request is refused everywhere for two minutes. Change: such a loss is confirmed from two seconds after the takeover on; broken connections count as before. Measured: silence_of_an_endpoint_that_leaves_the_view_is_a_crash_only_if_it_stays_away (2 cases) fails with the change taken out (reported crashes [1], expected none) and passes; 58 tests of the entry daemon pass.

--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -19,6 +19,9 @@
 /// Time without a further crash after which a control daemon removes the crash count of a request
 /// and no longer lists it as one to refuse.
 const CRASH_TTL: Duration = Duration::from_secs(120);
+/// Time after an endpoint fell silent before which it is not taken for terminated: one that only
+/// pauses may leave the view for a moment.
+const SILENCE_MAX: Duration = Duration::from_secs(2);
 /// Time after a loss within which the endpoint must be found to have terminated; otherwise the loss
 /// is dropped and does not count as a crash.
 const CONFIRMATION_WINDOW: Duration = Duration::from_secs(4);
@@ -29,14 +32,30 @@
 /// Requests whose responses were lost and whose endpoints are not yet known to have terminated.
 #[derive(Debug, Default)]
 pub struct Losses {
-    /// Fingerprint of the request, identity of the endpoint, and time of the loss.
-    losses: Vec<(u64, Name, Instant)>,
+    losses: Vec<Loss>,
+}
+
+/// A lost response.
+#[derive(Debug)]
+struct Loss {
+    /// Fingerprint of the request.
+    fingerprint: u64,
+    endpoint: Name,
+    at: Instant,
+    /// From when on it counts as a crash if the endpoint has terminated.
+    confirmable_from: Instant,
 }
 
 impl Losses {
     /// Records that the response to a request was lost.
     pub fn record(&mut self, fingerprint: u64, endpoint: Name, now: Instant) {
-        self.losses.push((fingerprint, endpoint, now));
+        self.losses.push(Loss { fingerprint, endpoint, at: now, confirmable_from: now });
+    }
+
+    /// Records that another endpoint had to answer a request because this one was silent.
+    pub fn record_silence(&mut self, fingerprint: u64, endpoint: Name, now: Instant) {
+        let confirmable_from = now + SILENCE_MAX;
+        self.losses.push(Loss { fingerprint, endpoint, at: now, confirmable_from });
     }
 
     /// Removes and returns the fingerprints of requests whose endpoints have terminated according
@@ -46,12 +65,12 @@
         Terminated: Fn(&Name) -> bool,
     {
         let mut crashed = Vec::new();
-        self.losses.retain(|(fingerprint, endpoint, since)| {
-            if has_terminated(endpoint) {
-                crashed.push(*fingerprint);
+        self.losses.retain(|loss| {
+            if now >= loss.confirmable_from && has_terminated(&loss.endpoint) {
+                crashed.push(loss.fingerprint);
                 return false;
             }
-            now.since(*since) < CONFIRMATION_WINDOW
+            now.since(loss.at) < CONFIRMATION_WINDOW
         });
         crashed
     }
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -82,7 +82,7 @@
         let Some(first) = active.endpoint.replace(second.clone()) else { return };
         self.targets.record_end(&first, begun, tokens);
         self.targets.record_takeover(&first, now);
-        self.losses.record(fingerprint, first.clone(), now);
+        self.losses.record_silence(fingerprint, first.clone(), now);
         let detail = format!("from={first} to={second} continued={begun}");
         let request_id = self.requests.get(&id).map(|active| active.request.request_id.clone());
         let event = journal::Event::new(
--- a/crates/fleet/tests/entry/stalls.rs
+++ b/crates/fleet/tests/entry/stalls.rs
@@ -157,3 +157,23 @@
     harness.now = harness.now + Duration::from_secs(1);
     assert_eq!(harness.state.running(), 0);
 }
+
+#[rstest]
+#[case::it_is_back_within_a_second(true, &[])]
+#[case::it_stays_away(false, &[1])]
+fn silence_of_an_endpoint_that_leaves_the_view_is_a_crash_only_if_it_stays_away(
+    #[case] returns: bool,
+    #[case] expected: &[u64],
+) {
+    let mut harness = hedged_stream(true);
+    let first = harness.attempt(1).target;
+    harness.apply(Event::HedgeAdopted(1));
+    let rest: Vec<_> = TWO_GROUPS.iter().filter(|target| *target.0 != *first).copied().collect();
+    harness.view(2, &rest);
+    harness.advance(1000);
+    if returns {
+        harness.view(3, TWO_GROUPS);
+    }
+    harness.advance(2000);
+    assert_eq!(harness.reported_crashes, expected);
+}
