Test: a stopping entry daemon answers or refuses each request on an established connection

Three callers send bookings, each on a new connection, all through the shutdown of an entry daemon until its port refuses connections; two of them send the request 30 ms after the connection was established. A stream is in flight that lasts longer than the daemon accepts requests.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 
-use self::deployment::{Deployment, Exchange, Kind, Reply};
+use self::deployment::{Call, Deployment, Exchange, Kind, Reply};
 
 #[path = "platform/deployment.rs"]
 mod deployment;
@@ -21,6 +21,10 @@
 /// Number of events of a stream that must still be in flight when a silence starts: enough for two
 /// seconds.
 const LONG_STREAM_EVENTS: u64 = 50;
+/// Time that callers with a slow network take from the connection to the request.
+const CALLER_DELAY: Duration = Duration::from_millis(30);
+/// Number of events of a stream that lasts longer than a stopping entry daemon accepts requests.
+const STREAM_EVENTS_BEYOND_STOP: u64 = 95;
 /// Time within which a deployment must recover from a failure.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -94,6 +98,35 @@
     assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
 }
 
+/// New connections arrive until the port of an entry daemon that was told to stop refuses them: each
+/// request on a connection that was established must be answered or refused.
+#[test]
+fn entry_daemon_stop_answers_or_refuses_each_request_on_an_established_connection() {
+    let mut deployment = Deployment::start();
+    let kind = Kind::Stream { events: STREAM_EVENTS_BEYOND_STOP };
+    let running = deployment.request_in_background("slow-0", kind);
+    let begun = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        deployment.silence.sent().contains_key("slow-0").then_some(())
+    });
+    assert!(begun.is_some(), "the stream has not begun in time");
+    let callers = [("a", Duration::ZERO), ("b", CALLER_DELAY), ("c", CALLER_DELAY)]
+        .map(|(label, delay)| deployment.book_until_refused(label, delay));
+    deployment.terminate_entry();
+    assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
+    let calls = callers.map(|caller| caller.join().expect("the caller's thread does not panic"));
+    let calls = calls.concat();
+    let count = |call: Call| calls.iter().filter(|other| **other == call).count();
+    let refused = count(Call::Answered(503));
+    assert!(refused > 0, "no request arrived after the daemon had stopped accepting any");
+    let unsent = count(Call::ResetUnsent);
+    assert_eq!(count(Call::Lost), 0, "lost of {}, {refused} refused, {unsent} unsent", calls.len());
+    assert_eq!(count(Call::Answered(200)) + refused + unsent, calls.len(), "{calls:?}");
+    let exchange = running.join().expect("the caller's thread does not panic");
+    let reply = exchange.reply.expect("the stream in flight is complete");
+    assert_eq!(deployment::event_ids(&reply.body).len() as u64, STREAM_EVENTS_BEYOND_STOP);
+    deployment.check_run_counts();
+}
+
 /// A document of half a megabyte, and one that follows with another route, come into force on the
 /// entry daemon and can be read from a control daemon.
 #[test]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -31,6 +31,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after which a test fails if a deployment has not reached the expected state.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time between two requests of [`Deployment::book_until_refused`].
+const CALL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -64,6 +66,19 @@
     pub next: Option<Reply>,
 }
 
+/// What became of a request on a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// The connection was not established.
+    Refused,
+    /// The connection was reset before the request was sent.
+    ResetUnsent,
+    /// The response was complete and had this status.
+    Answered(u16),
+    /// The connection was established, and there was no complete response.
+    Lost,
+}
+
 /// A running deployment; dropping it kills its processes.
 pub struct Deployment {
     /// Temporary folder with the settings files and data folders; removed on drop.
@@ -302,6 +317,28 @@
         })
     }
 
+    /// Sends bookings from another thread, each on a new connection and `delay` after it was
+    /// established, until the entry daemon's port refuses connections, and returns what became of
+    /// them.
+    pub fn book_until_refused(&self, label: &str, delay: Duration) -> JoinHandle<Vec<Call>> {
+        let address = self.entry_address(PORTS.callers);
+        let label = label.to_owned();
+        std::thread::spawn(move || {
+            let mut calls = Vec::new();
+            let end = Instant::now() + WAIT_TIMEOUT;
+            while Instant::now() < end {
+                let bytes = request(&format!("{label}{}-1", calls.len()), BOOK_PATH, "seat");
+                let call = call_on_new_connection(address, &bytes, delay);
+                if call == Call::Refused {
+                    return calls;
+                }
+                calls.push(call);
+                std::thread::sleep(CALL_INTERVAL);
+            }
+            panic!("the entry daemon's port still accepts connections");
+        })
+    }
+
     fn send(
         &self,
         address: SocketAddr,
@@ -372,6 +409,24 @@
     }
 }
 
+/// Sends a request on a new connection, `delay` after it was established.
+fn call_on_new_connection(address: SocketAddr, bytes: &str, delay: Duration) -> Call {
+    let call = async {
+        let Ok(stream) = TcpStream::connect(address).await else { return Call::Refused };
+        let mut connection = Connection::open(stream);
+        smol::Timer::after(delay).await;
+        let peeked = smol::future::poll_once(connection.stream.peek(&mut [0u8; 1])).await;
+        if peeked.is_some_and(|peeked| peeked.is_err()) {
+            return Call::ResetUnsent;
+        }
+        match exchange(&mut connection, "POST", bytes).await {
+            Some(reply) => Call::Answered(reply.status),
+            None => Call::Lost,
+        }
+    };
+    smol::block_on(within(RESPONSE_TIMEOUT, call)).unwrap_or(Call::Lost)
+}
+
 /// Sends a request on a new connection and returns the response, none if it is not complete within
 /// the timeout.
 fn send(address: SocketAddr, method: &str, path: &str, headers: &str, body: &str) -> Option<Reply> {
