Test: a request on a connection idle since before a change is handled by the new limits

The longest body is raised while a connection is idle, and the document is in force on new connections. A longer body on the idle connection is then refused by the old limit, which may be as old as the idle timeout.

assertion `left == right` failed: {"error":"body_too_long"} left: 413 right: 200

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 
-use self::deployment::{Call, Deployment, Exchange, Kind, Reply};
+use self::deployment::{Call, Caller, Deployment, Exchange, Kind, Reply};
 
 #[path = "platform/deployment.rs"]
 mod deployment;
@@ -23,6 +23,10 @@
 const LONG_STREAM_EVENTS: u64 = 50;
 /// Time that callers with a slow network take from the connection to the request.
 const CALLER_DELAY: Duration = Duration::from_millis(30);
+/// Idle timeout of the limits before a change.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest request body of the limits before a change.
+const MAX_BODY_BYTES: usize = 100;
 /// Number of events of a stream that lasts longer than a stopping entry daemon accepts requests.
 const STREAM_EVENTS_BEYOND_STOP: u64 = 95;
 /// Time within which a deployment must recover from a failure.
@@ -144,6 +148,43 @@
     }
 }
 
+/// Puts a document that doubles the limits of the one in force, and waits until requests on new
+/// connections are handled by it.
+fn double_limits(deployment: &Deployment) {
+    deployment.put_with_limits(9, MAX_BODY_BYTES * 2, IDLE_TIMEOUT * 2);
+    let in_force = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        let id = format!("{}1", deployment.unique_label());
+        let reply = deployment.open_connection().book(&id, MAX_BODY_BYTES * 2)?;
+        (reply.status == 200).then_some(())
+    });
+    assert!(in_force.is_some(), "the document with the higher limits is not in force in time");
+}
+
+/// Starts a deployment, puts the limits before the change, and returns a connection that has been
+/// served by them.
+fn start_with_limits() -> (Deployment, Caller) {
+    let deployment = Deployment::start();
+    deployment.put_with_limits(8, MAX_BODY_BYTES, IDLE_TIMEOUT);
+    let served = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        let id = format!("{}1", deployment.unique_label());
+        let reply = deployment.open_connection().book(&id, MAX_BODY_BYTES + 1)?;
+        (reply.status == 413).then_some(())
+    });
+    assert!(served.is_some(), "the document with the lower limits is not in force in time");
+    let mut caller = deployment.open_connection();
+    assert_eq!(caller.book("before-1", 4).map(|reply| reply.status), Some(200));
+    (deployment, caller)
+}
+
+/// The longest body is raised while a connection is idle: the next request on it is served.
+#[test]
+fn request_on_a_connection_idle_since_before_a_change_is_handled_by_the_new_limits() {
+    let (deployment, mut caller) = start_with_limits();
+    double_limits(&deployment);
+    let reply = caller.book("after-1", MAX_BODY_BYTES * 2).expect("a complete response");
+    assert_eq!(reply.status, 200, "{}", reply.body);
+}
+
 /// The only endpoint of a service takes one request in ten seconds: the next one is refused, with
 /// the time until there is room.
 #[test]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -66,6 +66,19 @@
     pub next: Option<Reply>,
 }
 
+/// Connection of a caller that is kept open.
+pub struct Caller(Connection);
+
+impl Caller {
+    /// Sends a booking with a body of this length and returns the response, none if it is not
+    /// complete within the timeout.
+    pub fn book(&mut self, id: &str, body_bytes: usize) -> Option<Reply> {
+        let bytes = request(id, BOOK_PATH, &"s".repeat(body_bytes));
+        let exchange = exchange(&mut self.0, "POST", &bytes);
+        smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
+    }
+}
+
 /// What became of a request on a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -229,7 +242,21 @@
     /// Like [`Deployment::put`], with `count` further routes to the plain service, whose prefixes are
     /// `/more0/`, `/more1/` and so on.
     pub fn put_with_routes(&self, version: u64, count: usize) {
-        let body = document(version, count).to_string();
+        self.put_document(version, &document(version, count));
+    }
+
+    /// Like [`Deployment::put`], with these limits for callers.
+    pub fn put_with_limits(&self, version: u64, max_body_bytes: usize, idle_timeout: Duration) {
+        let mut document = document(version, 0);
+        document["limits"] = json!({
+            "max_header_bytes": 16 << 10, "max_body_bytes": max_body_bytes,
+            "header_timeout_ms": 3000, "idle_timeout_ms": idle_timeout.as_millis() as u64,
+        });
+        self.put_document(version, &document);
+    }
+
+    fn put_document(&self, version: u64, document: &serde_json::Value) {
+        let body = document.to_string();
         let put = self.poll(WAIT_TIMEOUT, |deployment| {
             deployment.control_addresses().into_iter().find(|control| {
                 let reply = deployment.send(*control, "POST", "/Config.Put", "", &body);
@@ -317,6 +344,13 @@
         })
     }
 
+    /// Opens a connection of a caller.
+    pub fn open_connection(&self) -> Caller {
+        let address = self.entry_address(PORTS.callers);
+        let stream = smol::block_on(TcpStream::connect(address)).expect("the entry daemon accepts");
+        Caller(Connection::open(stream))
+    }
+
     /// Sends bookings from another thread, each on a new connection and `delay` after it was
     /// established, until the entry daemon's port refuses connections, and returns what became of
     /// them.
