Test: a connection idle since before a change is kept open for the new timeout

The idle timeout is raised from 5 to 10 s while a connection is idle. Callers reuse it for up to four fifths of the new time; the daemon closes it by the old one, which it read when the wait began.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -185,6 +185,17 @@
     assert_eq!(reply.status, 200, "{}", reply.body);
 }
 
+/// The idle timeout is raised while a connection is idle: it stays open beyond the old one.
+#[test]
+fn connection_idle_since_before_a_change_is_kept_open_for_the_new_timeout() {
+    let (deployment, mut caller) = start_with_limits();
+    double_limits(&deployment);
+    let closed = caller.is_closed_within(IDLE_TIMEOUT + IDLE_TIMEOUT / 4);
+    assert!(!closed, "the connection is closed by the old timeout");
+    assert_eq!(caller.book("after-1", 4).map(|reply| reply.status), Some(200));
+    assert!(caller.is_closed_within(IDLE_TIMEOUT * 4), "the connection is never closed");
+}
+
 /// The only endpoint of a service takes one request in ten seconds: the next one is refused, with
 /// the time until there is room.
 #[test]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -77,6 +77,11 @@
         let exchange = exchange(&mut self.0, "POST", &bytes);
         smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
     }
+
+    /// Whether the daemon closes the connection within this time.
+    pub fn is_closed_within(&mut self, time: Duration) -> bool {
+        smol::block_on(within(time, self.0.fill())).is_some()
+    }
 }
 
 /// What became of a request on a new connection.
