A stopping entry daemon answers every connection that it has accepted

Cause: once idle connections are closed, 2.9 s after SIGTERM, each new connection was dropped unless its request had arrived already. The listener stayed open until the process ended, so connections that waited there, or whose task had not run yet, ended without an answer.

Change: a connection without a request so far gets 500 ms for its first one, which is refused (503, Connection: close). When no request runs any more or the grace period is about to end, the daemon stops accepting, accepts the connections that wait, and closes the listener; then it waits until all connections, counted from when they are accepted, are closed. The listener isn't closed earlier, since the load balancer sends callers to daemons that are not ready if fewer than half of a zone's are ready: a refusal tells them when to retry.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,7 +21,9 @@
 
 use crate::clock;
 use crate::exchange::Incoming;
-use crate::http::{accept_all, within, Connection, Error, RequestHead, ResponseHead};
+use crate::http::{
+    accept_all, accept_waiting, within, Connection, Error, RequestHead, ResponseHead,
+};
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
 use crate::metrics::{serve as serve_metrics, Meter};
@@ -47,6 +49,9 @@
 /// platform's load balancer needs that long to notice that the daemon is not ready. If half of the
 /// grace period is shorter, that is used instead.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2900);
+/// Time for the first request on a new connection to arrive during a shutdown, from when idle
+/// connections are closed or, if later, from when the connection is accepted.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// A shutdown stops waiting for requests this long before the end of the grace period, and cuts off
 /// those that still run.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
@@ -96,11 +101,12 @@
     meter: Meter,
     /// Number of the next request.
     next_id: Cell<u64>,
-    /// Closing this channel makes all idle connections of callers close. Nothing is sent on it.
+    /// Closing this channel makes all idle connections of callers close, and those without a request
+    /// so far [`FIRST_REQUEST_TIMEOUT`] later. Nothing is sent on it.
     close_idle: (Sender<()>, Receiver<()>),
     /// Whether new requests are refused because the daemon is stopping.
     refuses_requests: Cell<bool>,
-    /// Open connections of callers.
+    /// Accepted connections of callers that are still open.
     connection_count: Cell<usize>,
 }
 
@@ -155,9 +161,14 @@
     let caller_shell = shell.clone();
     let serve = move |stream| {
         let shell = caller_shell.clone();
-        async move { shell.serve(stream).await }
+        shell.connection_count.set(shell.connection_count.get() + 1);
+        async move {
+            shell.serve(stream).await;
+            shell.connection_count.set(shell.connection_count.get() - 1);
+        }
     };
-    executor.spawn(accept_all(caller_listener, executor.clone(), serve)).detach();
+    let accepting =
+        executor.spawn(accept_all(caller_listener.clone(), executor.clone(), serve.clone()));
     let readiness_shell = shell.clone();
     let serve_readiness = move |stream| {
         let shell = readiness_shell.clone();
@@ -168,7 +179,12 @@
         executor.spawn(serve_metrics(shell.meter.clone(), address)).detach();
     }
     stop.await;
-    shell.shut_down(config.grace_period).await;
+    let close_listener = async {
+        accepting.cancel().await;
+        accept_waiting(&caller_listener, &executor, serve);
+        drop(caller_listener);
+    };
+    shell.shut_down(config.grace_period, close_listener).await;
     Ok(())
 }
 
@@ -305,14 +321,17 @@
 
     /// Serves the requests on the connection of a caller, one after the other.
     async fn serve(&self, stream: TcpStream) {
-        self.connection_count.set(self.connection_count.get() + 1);
         let mut connection = Connection::open(stream);
+        let mut has_carried_request = false;
         loop {
             let limits = self.limits();
             if connection.buffer.is_empty() {
                 let first_bytes = within(limits.idle_timeout, connection.fill());
                 let close_requested = async {
                     self.close_idle.1.recv().await.ok();
+                    if !has_carried_request {
+                        Timer::after(FIRST_REQUEST_TIMEOUT).await;
+                    }
                     None
                 };
                 match first_bytes.or(close_requested).await {
@@ -339,8 +358,8 @@
             if !keep_alive {
                 break;
             }
+            has_carried_request = true;
         }
-        self.connection_count.set(self.connection_count.get() - 1);
     }
 
     /// Refuses a request that could not be read. There is no response if the connection failed.
@@ -450,9 +469,13 @@
     }
 
     /// Shuts down: reports not ready at once; after [`ACCEPT_AFTER_STOP`] refuses new requests and
-    /// closes idle connections; then waits until all connections are closed or the grace period is
-    /// about to end. Requests still running then are cut off.
-    async fn shut_down(&self, grace_period: Duration) {
+    /// closes idle connections; closes the listener when no request runs any more, because some
+    /// callers may still be sent here; then waits until all connections are closed. If the grace
+    /// period is about to end, waits no longer and cuts off the requests that still run.
+    async fn shut_down<Close>(&self, grace_period: Duration, close_listener: Close)
+    where
+        Close: std::future::Future<Output = ()>,
+    {
         let started_at = clock::now();
         self.apply(Event::Stop);
         let running = self.state.borrow().running();
@@ -461,8 +484,13 @@
         Timer::after(ACCEPT_AFTER_STOP.min(grace_period / 2)).await;
         self.refuses_requests.set(true);
         self.close_idle.0.close();
-        let max_wait = grace_period.saturating_sub(STOP_MARGIN);
-        while self.connection_count.get() > 0 && clock::now().since(started_at) < max_wait {
+        let end = started_at + grace_period.saturating_sub(STOP_MARGIN);
+        let last_accept = end.before(FIRST_REQUEST_TIMEOUT);
+        while self.state.borrow().running() > 0 && clock::now() < last_accept {
+            Timer::after(TICK_INTERVAL).await;
+        }
+        close_listener.await;
+        while self.connection_count.get() > 0 && clock::now() < end {
             Timer::after(TICK_INTERVAL).await;
         }
         let detail = format!("cut={}", self.state.borrow().running());
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -526,7 +526,7 @@
     out.extend_from_slice(b"\r\n");
 }
 
-/// Accepts connections for as long as the executor runs and serves each in its own task.
+/// Accepts connections until the future is dropped and serves each in its own task.
 pub async fn accept_all<Serve, Work>(
     listener: TcpListener,
     executor: Rc<LocalExecutor<'static>>,
@@ -545,6 +545,21 @@
     }
 }
 
+/// Serves the connections that are established and have not been accepted yet, each in its own task.
+pub fn accept_waiting<Serve, Work>(
+    listener: &TcpListener,
+    executor: &LocalExecutor<'static>,
+    serve: Serve,
+) where
+    Serve: Fn(TcpStream) -> Work,
+    Work: Future<Output = ()> + 'static,
+{
+    let accept = || smol::future::block_on(smol::future::poll_once(listener.accept()));
+    while let Some(Ok((stream, _))) = accept() {
+        executor.spawn(serve(stream)).detach();
+    }
+}
+
 /// Runs a future for at most `timeout`; if it takes longer, drops it and returns none.
 pub async fn within<Output, Work>(timeout: Duration, work: Work) -> Option<Output>
 where
