A request is read by the limits in force when its first bytes arrive

Cause: an entry daemon read the limits before it waited for a request, so those for the head, its timeout and the body could be as old as the idle timeout. After a change that raises them, requests that it allows were refused (413, 431) on connections that had been idle since before.

Change: the limits are read after the wait.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -324,9 +324,8 @@
         let mut connection = Connection::open(stream);
         let mut has_carried_request = false;
         loop {
-            let limits = self.limits();
             if connection.buffer.is_empty() {
-                let first_bytes = within(limits.idle_timeout, connection.fill());
+                let first_bytes = within(self.limits().idle_timeout, connection.fill());
                 let close_requested = async {
                     self.close_idle.1.recv().await.ok();
                     if !has_carried_request {
@@ -343,6 +342,7 @@
                     }
                 }
             }
+            let limits = self.limits();
             let head = connection.read_request_head(limits.head_bytes);
             let keep_alive = match within(limits.head_timeout, head).await {
                 Some(Ok(head)) => self.serve_request(&mut connection, head, limits).await,
