A raised idle timeout holds for connections that are idle already

Cause: an entry daemon read the idle timeout once for each wait. After a change that raises it, connections were closed by the old one, while callers reuse them for up to four fifths of the new one.

Change: when the timeout that was in force at the start of a wait is over, the one in force then is applied to the whole wait. A lowered one doesn't shorten a wait that has begun, because the caller may still know the old one.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -324,23 +324,9 @@
         let mut connection = Connection::open(stream);
         let mut has_carried_request = false;
         loop {
-            if connection.buffer.is_empty() {
-                let first_bytes = within(self.limits().idle_timeout, connection.fill());
-                let close_requested = async {
-                    self.close_idle.1.recv().await.ok();
-                    if !has_carried_request {
-                        Timer::after(FIRST_REQUEST_TIMEOUT).await;
-                    }
-                    None
-                };
-                match first_bytes.or(close_requested).await {
-                    Some(Ok(count)) if count > 0 => {}
-                    Some(_) => break,
-                    None => {
-                        self.meter.count("closed.idle");
-                        break;
-                    }
-                }
+            let has_bytes = !connection.buffer.is_empty();
+            if !has_bytes && !self.wait_for_request(&mut connection, has_carried_request).await {
+                break;
             }
             let limits = self.limits();
             let head = connection.read_request_head(limits.head_bytes);
@@ -362,6 +348,38 @@
         }
     }
 
+    /// Waits for the first bytes of a request and returns whether any have arrived. Otherwise the
+    /// idle timeout is over, the caller has closed the connection, or idle connections are to be
+    /// closed. The idle timeout is the one in force at the start or the end of the wait, whichever is
+    /// longer, because the caller may know either.
+    async fn wait_for_request(
+        &self,
+        connection: &mut Connection,
+        has_carried_request: bool,
+    ) -> bool {
+        let started_at = clock::now();
+        let arrived = async { matches!(connection.fill().await, Ok(count) if count > 0) };
+        let close_requested = async {
+            self.close_idle.1.recv().await.ok();
+            if !has_carried_request {
+                Timer::after(FIRST_REQUEST_TIMEOUT).await;
+            }
+            false
+        };
+        let timed_out = async {
+            loop {
+                let end = started_at + self.limits().idle_timeout;
+                let time_left = end.since(clock::now());
+                if time_left.is_zero() {
+                    self.meter.count("closed.idle");
+                    return false;
+                }
+                Timer::after(time_left).await;
+            }
+        };
+        arrived.or(close_requested).or(timed_out).await
+    }
+
     /// Refuses a request that could not be read. There is no response if the connection failed.
     async fn refuse_unreadable(&self, connection: &Connection, error: &Error) {
         let reason = match error {
