Test: a stopping entry daemon refuses the request that follows an answer in flight

A stream that begins before SIGTERM and ends after idle connections are closed carries no `Connection: close`, so its caller sends the next request on the same connection at once.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -131,6 +131,24 @@
     deployment.check_run_counts();
 }
 
+/// A stream that began before the stop announced no close, so its caller may use the connection
+/// again: the request that follows must be refused, not met by a closed connection.
+#[test]
+fn entry_daemon_stop_refuses_the_request_that_follows_an_answer_in_flight() {
+    let mut deployment = Deployment::start();
+    let kind = Kind::Stream { events: STREAM_EVENTS_BEYOND_STOP };
+    let running = deployment.request_in_background("slow-0", kind);
+    let begun = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        deployment.silence.sent().contains_key("slow-0").then_some(())
+    });
+    assert!(begun.is_some(), "the stream has not begun in time");
+    deployment.terminate_entry();
+    assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
+    let exchange = running.join().expect("the caller's thread does not panic");
+    assert_eq!(exchange.reply.map(|reply| reply.status), Some(200));
+    assert_eq!(exchange.next.map(|reply| reply.status), Some(503));
+}
+
 /// A document of half a megabyte, and one that follows with another route, come into force on the
 /// entry daemon and can be read from a control daemon.
 #[test]
