A stopping entry daemon leaves time for the request that follows an answer

Cause: a daemon that closes idle connections also closed those on which an answer had just ended. If that answer began before the stop, it announced no close, and the caller sends its next request at once.

Change: a connection is closed when it has been idle for 500 ms, counted from its acceptance or its last answer. Until then a request is refused (503, Connection: close). New connections are no longer a case of their own.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -49,9 +49,9 @@
 /// platform's load balancer needs that long to notice that the daemon is not ready. If half of the
 /// grace period is shorter, that is used instead.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2900);
-/// Time for the first request on a new connection to arrive during a shutdown, from when idle
-/// connections are closed or, if later, from when the connection is accepted.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that a stopping daemon leaves for a request to arrive on a connection, counted from when it
+/// was accepted or has carried the last answer.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// A shutdown stops waiting for requests this long before the end of the grace period, and cuts off
 /// those that still run.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
@@ -101,8 +101,8 @@
     meter: Meter,
     /// Number of the next request.
     next_id: Cell<u64>,
-    /// Closing this channel makes all idle connections of callers close, and those without a request
-    /// so far [`FIRST_REQUEST_TIMEOUT`] later. Nothing is sent on it.
+    /// Closing this channel makes all connections of callers close that have been idle for
+    /// [`LAST_REQUEST_TIMEOUT`], and the others once they have. Nothing is sent on it.
     close_idle: (Sender<()>, Receiver<()>),
     /// Whether new requests are refused because the daemon is stopping.
     refuses_requests: Cell<bool>,
@@ -322,10 +322,8 @@
     /// Serves the requests on the connection of a caller, one after the other.
     async fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::open(stream);
-        let mut has_carried_request = false;
         loop {
-            let has_bytes = !connection.buffer.is_empty();
-            if !has_bytes && !self.wait_for_request(&mut connection, has_carried_request).await {
+            if connection.buffer.is_empty() && !self.wait_for_request(&mut connection).await {
                 break;
             }
             let limits = self.limits();
@@ -344,7 +342,6 @@
             if !keep_alive {
                 break;
             }
-            has_carried_request = true;
         }
     }
 
@@ -352,18 +349,13 @@
     /// idle timeout is over, the caller has closed the connection, or idle connections are to be
     /// closed. The idle timeout is the one in force at the start or the end of the wait, whichever is
     /// longer, because the caller may know either.
-    async fn wait_for_request(
-        &self,
-        connection: &mut Connection,
-        has_carried_request: bool,
-    ) -> bool {
+    async fn wait_for_request(&self, connection: &mut Connection) -> bool {
         let started_at = clock::now();
         let arrived = async { matches!(connection.fill().await, Ok(count) if count > 0) };
         let close_requested = async {
             self.close_idle.1.recv().await.ok();
-            if !has_carried_request {
-                Timer::after(FIRST_REQUEST_TIMEOUT).await;
-            }
+            let idle_time = clock::now().since(started_at);
+            Timer::after(LAST_REQUEST_TIMEOUT.saturating_sub(idle_time)).await;
             false
         };
         let timed_out = async {
@@ -503,7 +495,7 @@
         self.refuses_requests.set(true);
         self.close_idle.0.close();
         let end = started_at + grace_period.saturating_sub(STOP_MARGIN);
-        let last_accept = end.before(FIRST_REQUEST_TIMEOUT);
+        let last_accept = end.before(LAST_REQUEST_TIMEOUT);
         while self.state.borrow().running() > 0 && clock::now() < last_accept {
             Timer::after(TICK_INTERVAL).await;
         }
