An endpoint whose requests were taken over is tried again after two seconds

Cause: each takeover doubled the time in which an endpoint gets nothing, up to 8 s, and only progress ended it; an endpoint with no request left in flight can make none. Change: two seconds after the last takeover.

--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -37,7 +37,10 @@
 /// ejected endpoint is sent no requests.
 const EJECTION_MIN: Duration = Duration::from_millis(500);
 /// Duration of the ejection of an endpoint that makes no progress, unless it makes some earlier.
-const STALL_EJECTION_MIN: Duration = Duration::from_millis(1000);
+const STALL_EJECTION: Duration = Duration::from_millis(1000);
+/// Duration of the ejection of an endpoint whose request another one has taken over, unless it makes
+/// progress earlier.
+const TAKEOVER_EJECTION: Duration = Duration::from_millis(2000);
 /// Longest duration of an ejection.
 const EJECTION_MAX: Duration = Duration::from_secs(8);
 /// Weight of the newest outcome in the moving average that is the failure rate.
@@ -97,8 +100,6 @@
     ejected_until: Instant,
     /// Until when it is sent no requests because it makes no progress; reset by any progress.
     stalled_until: Instant,
-    /// Requests whose second attempt has taken over since it last made progress.
-    takeovers: u32,
     /// When it was last found stalled or unreachable; none once it sends a part of a response
     /// again.
     suspected_at: Option<Instant>,
@@ -183,7 +184,6 @@
                     if target.description.group != description.group {
                         target.ejected_until = Instant::default();
                         target.stalled_until = Instant::default();
-                        target.takeovers = 0;
                         target.consecutive_failures = 0;
                         target.failure_rate = 0.0;
                     }
@@ -348,7 +348,6 @@
         target.progressed = true;
         target.suspected_at = None;
         target.stalled_until = Instant::default();
-        target.takeovers = 0;
     }
 
     /// Records the number of running and waiting requests that an endpoint stated in a response. It
@@ -375,17 +374,15 @@
     /// not suspected before.
     pub(super) fn suspect(&mut self, id: &Name, now: Instant) -> bool {
         let Some(target) = self.targets.get_mut(id) else { return false };
-        target.stalled_until = target.stalled_until.max(now + STALL_EJECTION_MIN);
+        target.stalled_until = target.stalled_until.max(now + STALL_EJECTION);
         target.suspected_at.replace(now).is_none()
     }
 
-    /// Records that another endpoint has taken over a request of an endpoint without progress. Each
-    /// one doubles the time for which that endpoint is sent no requests.
+    /// Records that another endpoint has taken over a request of an endpoint without progress. That
+    /// endpoint may have nothing left in flight with which to make any.
     pub(super) fn record_takeover(&mut self, id: &Name, now: Instant) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        target.takeovers += 1;
-        let doubled = STALL_EJECTION_MIN * 2u32.pow(target.takeovers.min(4));
-        target.stalled_until = target.stalled_until.max(now + doubled.min(EJECTION_MAX));
+        target.stalled_until = target.stalled_until.max(now + TAKEOVER_EJECTION);
     }
 
     /// Restarts the stall timeout of an endpoint from which nothing was read for a time.
@@ -471,7 +468,6 @@
             consecutive_failures: 0,
             ejected_until: Instant::default(),
             stalled_until: Instant::default(),
-            takeovers: 0,
             suspected_at: None,
             unreachable_at: None,
         }
