No second attempt at an endpoint that fell silent at the same moment

Cause: endpoints were suspected and their requests hedged one after the other, so those of the first could go to the next, which was suspected an instant later; a token and the last attempt were wasted. Change: all silent endpoints are suspected first.

--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -30,12 +30,15 @@
 {
     /// Suspects the endpoints that make no progress, and starts second attempts for their requests.
     pub(super) fn hedge_stalled_attempts(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let mut stalls = Vec::new();
         for silence in self.targets.silences(now) {
             let affected = self.requests_read_from(&silence.endpoint);
-            if affected.is_empty() {
-                continue;
+            if !affected.is_empty() {
+                let is_new = self.targets.suspect(&silence.endpoint, now);
+                stalls.push((silence, affected, is_new));
             }
-            let is_new = self.targets.suspect(&silence.endpoint, now);
+        }
+        for (silence, affected, is_new) in stalls {
             let hedged =
                 affected.iter().filter(|id| self.hedge(now, **id, &silence, effects)).count();
             if is_new || hedged > 0 {
