A second attempt takes over only where it continues what the caller has

Cause, found by the review: (1) a second attempt that went on alone could get another one, which nobody ran when it ended: the request had neither answer nor refusal. (2) It could take over while a write to the caller was under way, or with a complete answer after the beginning of a stream, and cut it. (3) After the first attempt had sent further events and then broke off, events of a run from the beginning could follow. All three: the second attempt was adopted without a check that it fits what the caller has by then. Change: an attempt that goes on alone gets no other one until its response begins; a takeover needs that nothing was written since the second attempt began and no write is under way; what doesn't fit is dropped (End::Dropped) and the request is retried or refused. (2) and (3) in the shell have no test of their own.

--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -109,7 +109,8 @@
             End::Unreachable | End::Declined { .. } | End::Dropped => {}
         }
         active.endpoint = active.hedge.take();
-        active.endpoint.is_some()
+        active.promoted = active.endpoint.is_some();
+        active.promoted
     }
 
     /// Records the end of the second attempt, if any, of a request that has ended.
@@ -160,6 +161,7 @@
     fn may_be_hedged(&self, now: Instant, silence: &Silence) -> bool {
         let patience = if self.response_begun { CONTINUATION_DELAY } else { Duration::ZERO };
         self.hedge.is_none()
+            && !self.promoted
             && self.route.is_retryable()
             && self.attempts < self.route.max_attempts
             && self.tried.len() < TRIED_ENDPOINTS_MAX
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -64,6 +64,9 @@
     pub(super) endpoint: Option<Name>,
     /// Endpoint of a second attempt that runs beside the current one; none while there is none.
     pub(super) hedge: Option<Name>,
+    /// Whether the current attempt began beside another one, which has ended since, and its response
+    /// has not begun.
+    pub(super) promoted: bool,
     /// Whether the response of the current attempt has begun.
     pub(super) begun: bool,
     /// Whether any part of a response has been sent to the caller.
@@ -118,6 +121,7 @@
             tried: SmallVec::new(),
             endpoint: None,
             hedge: None,
+            promoted: false,
             begun: false,
             response_begun: false,
             writing: false,
@@ -176,6 +180,7 @@
         let Some(attempt) = self.start_attempt(now, id, &target) else { return };
         let Some(active) = self.requests.get_mut(&id) else { return };
         active.endpoint = Some(target);
+        active.promoted = false;
         active.begun = false;
         effects.push(Effect::Decide(id, Decision::Send(attempt)));
     }
@@ -238,6 +243,7 @@
             return;
         }
         active.begun = true;
+        active.promoted = false;
         active.response_begun = true;
         if let Some(target) = &active.endpoint {
             self.targets.record_response_start(target, active.request.prompt_tokens);
@@ -336,7 +342,7 @@
                 self.retry_or_forward(now, id, effects);
             }
             End::Failed { .. } => self.forward_failure(id, effects),
-            End::Lost { .. } if retryable => {
+            End::Lost { .. } | End::Dropped if retryable => {
                 active.may_have_run = true;
                 self.retry(now, id, Reason::Lost, true, effects);
             }
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -19,6 +19,7 @@
 use rstest::rstest;
 
 mod fetching;
+mod interleaving;
 mod limits;
 mod placing;
 mod stalls;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -30,16 +30,22 @@
     writing: Cell<bool>,
     /// Number of writes to the caller so far.
     writes: Cell<u64>,
-    /// Whether a second attempt runs.
-    hedging: Cell<bool>,
+    /// Number of writes to the caller when the second attempt began; none while none runs.
+    hedge_base: Cell<Option<u64>>,
+}
+
+impl Progress {
+    /// Whether a part of the response has been sent since the second attempt began. What that
+    /// attempt brings is then not the continuation.
+    fn has_advanced(&self) -> bool {
+        self.hedge_base.get().is_some_and(|base| base != self.writes.get())
+    }
 }
 
 /// A second attempt whose response has arrived or which has failed.
 struct Hedge {
     attempt: Attempt,
     reply: Result<Reply, End>,
-    /// Number of writes to the caller when the attempt began.
-    writes_before: u64,
 }
 
 /// What ended first while a second attempt could run.
@@ -116,7 +122,7 @@
     {
         let id = incoming.id;
         let progress = self.progress.clone();
-        progress.hedging.set(false);
+        progress.hedge_base.set(None);
         let mut second = pin!(run_hedge(shell, incoming, &progress, hedges));
         let mut reply = None;
         loop {
@@ -129,7 +135,7 @@
                         Outcome::Ended(end) => break Err(end),
                         Outcome::Hedged(hedge) => {
                             let takeover = hedge.take_over(&progress);
-                            progress.hedging.set(false);
+                            progress.hedge_base.set(None);
                             second.set(run_hedge(shell, incoming, &progress, hedges));
                             match takeover {
                                 Ok(successor) => break Ok(successor),
@@ -145,11 +151,14 @@
                     successor
                 }
                 Err(end) if end == End::Answered => return end,
-                Err(end) if !progress.hedging.get() && hedges.is_empty() => return end,
+                Err(end) if progress.hedge_base.get().is_none() && hedges.is_empty() => return end,
                 Err(end) => {
                     shell.apply(Event::AttemptEnded(id, end));
+                    if progress.has_advanced() {
+                        return End::Dropped;
+                    }
                     let hedge = second.as_mut().await;
-                    progress.hedging.set(false);
+                    progress.hedge_base.set(None);
                     second.set(run_hedge(shell, incoming, &progress, hedges));
                     match hedge.reply {
                         Ok(reply) => Successor { attempt: hedge.attempt, reply },
@@ -189,7 +198,9 @@
             // Only an event stream can continue a response that has begun.
             _ if self.has_begun() => End::Lost { broken: false },
             Reply::Complete(message) => {
+                shell.record_write(incoming.id, true);
                 self.send_complete(&message).await;
+                shell.record_write(incoming.id, false);
                 End::Answered
             }
             Reply::Error(message) => {
@@ -318,7 +329,8 @@
     fn take_over(self, progress: &Progress) -> Result<Successor, End> {
         match self.reply? {
             Reply::Error(message) => Err(End::Failed { status: message.head.status }),
-            _ if progress.writes.get() != self.writes_before => Err(End::Dropped),
+            _ if progress.has_advanced() || progress.writing.get() => Err(End::Dropped),
+            Reply::Complete(_) if progress.begun.get() => Err(End::Lost { broken: false }),
             reply => Ok(Successor { attempt: self.attempt, reply }),
         }
     }
@@ -335,10 +347,9 @@
     Platform: Protocol,
 {
     let Ok(attempt) = hedges.recv().await else { return std::future::pending().await };
-    progress.hedging.set(true);
-    let writes_before = progress.writes.get();
+    progress.hedge_base.set(Some(progress.writes.get()));
     let reply = fetch(shell, incoming, &attempt, progress.last_event_id.get()).await;
-    Hedge { attempt, reply, writes_before }
+    Hedge { attempt, reply }
 }
 
 /// Encodes the head of the response to the caller: the endpoint's head without its hop-by-hop
