Log pauses and leaves that endpoints state, and count requests sent nevertheless

The view carries the start time of an endpoint's incarnation, so that what is known ends with it. No decision changes.

--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -412,6 +412,7 @@
             group: group.name.clone(),
             zone: String::new(),
             slots: engine.slots,
+            started_unix_ms: head.started_unix_ms,
         })
     }
 }
@@ -431,5 +432,6 @@
         group: group.to_owned(),
         zone: heartbeat.zone.clone(),
         slots: heartbeat.slots,
+        started_unix_ms: heartbeat.started_unix_ms,
     }
 }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::Name;
 
 pub mod budget;
+pub mod pauses;
 pub mod queue;
 pub mod request;
 pub mod targets;
@@ -36,6 +37,7 @@
 
 use self::budget::Budget;
 use self::fetching::Transfer;
+use self::pauses::Statement;
 use self::queue::{Queue, Requirement};
 use self::serving::Active;
 use self::targets::Targets;
@@ -99,6 +101,8 @@
     /// The head of a response has arrived from this endpoint, with the requests per second that it
     /// takes from all entry daemons together; none if it stated no limit.
     LimitStated(Name, Option<f64>),
+    /// The head of a response has arrived from this endpoint.
+    HeadArrived(Name, Statement),
     /// The caller of the request with this id has closed its connection.
     CallerGone(u64),
     /// A graceful shutdown was requested.
@@ -258,6 +262,9 @@
             Event::LimitStated(endpoint, limit) => {
                 self.record_limit(now, &endpoint, limit, effects)
             }
+            Event::HeadArrived(endpoint, statement) => {
+                self.record_statement(now, &endpoint, statement, effects)
+            }
             Event::CallerGone(id) => self.cancel_request(now, id, effects),
             Event::Stop => self.stopping = true,
         }
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -13,6 +13,7 @@
 use crate::Name;
 
 use super::limits::{Limits, Outlook};
+use super::pauses::Pauses;
 use super::queue::Requirement;
 
 /// Lower bound of the time without any part of a response after which an endpoint counts as
@@ -120,6 +121,8 @@
     targets: BTreeMap<Name, Target>,
     /// Limits of endpoints, whether they are in the view or not.
     pub(super) limits: Limits,
+    /// Pauses and leaves of endpoints, whether they are in the view or not.
+    pub(super) pauses: Pauses,
 }
 
 /// An endpoint that has requests in flight and makes no progress.
@@ -165,6 +168,7 @@
             order: Vec::new(),
             targets: BTreeMap::new(),
             limits: Limits::default(),
+            pauses: Pauses::default(),
         }
     }
 
@@ -179,6 +183,7 @@
         }
         for description in view.targets {
             let id: Name = description.id.as_str().into();
+            self.pauses.record_listed(&id, description.started_unix_ms);
             match self.targets.get_mut(&id) {
                 Some(target) => {
                     if target.description.group != description.group {
@@ -196,6 +201,8 @@
             }
         }
         self.targets.retain(|_, target| target.in_view || target.running > 0);
+        let targets = &self.targets;
+        self.pauses.expire(now, |id| targets.get(id).is_some_and(|target| target.in_view));
     }
 
     /// Updates the limits and the load by other entry daemons; loads that belong to another view
@@ -277,6 +284,11 @@
         Some((description.service.as_str().into(), description.model.as_str().into()))
     }
 
+    /// Start time of an endpoint's incarnation in Unix milliseconds, 0 if it is not known.
+    pub(super) fn started_unix_ms(&self, id: &Name) -> u64 {
+        self.targets.get(id).map_or(0, |target| target.description.started_unix_ms)
+    }
+
     /// The endpoint with this identity.
     pub fn target(&self, id: &Name) -> Option<&Target> {
         self.targets.get(id)
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -152,6 +152,9 @@
     /// Requests that it can run concurrently.
     #[prost(uint32, tag = "7")]
     pub slots: u32,
+    /// Start time of its incarnation in Unix milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub started_unix_ms: u64,
 }
 
 /// All endpoints that requests can be sent to, as the sending control daemon knows them.
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -229,6 +229,7 @@
             group: if *service == "llm" { format!("g-{id}") } else { String::new() },
             zone: (*zone).to_owned(),
             slots: *slots,
+            started_unix_ms: 1,
         };
         let targets = targets.iter().map(target).collect();
         self.receive(Body::View(View { sequence, targets }));
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dotterelhoist_fleet::document::Limits;
+use dotterelhoist_fleet::entry::pauses::{self, Pause, Statement};
 use dotterelhoist_fleet::entry::{
     Attempt, Decision, Effect, End, Event, Reason, Refusal, Request, State,
 };
@@ -22,7 +23,7 @@
 use crate::clock;
 use crate::exchange::Incoming;
 use crate::http::{
-    accept_all, accept_waiting, within, Connection, Error, RequestHead, ResponseHead,
+    accept_all, accept_waiting, within, Connection, Error, Headers, RequestHead, ResponseHead,
 };
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
@@ -262,9 +263,10 @@
         }
     }
 
-    /// Records that the head of a response has arrived from the endpoint `target`, and the load and
-    /// the limit that its headers state, if any. A response with status 421 may come from another
-    /// endpoint at the same address, so it says nothing about the limit.
+    /// Records that the head of a response has arrived from the endpoint `target`, and the load,
+    /// the limit, the pause and the leave that its headers state, if any. A response with status
+    /// 421 may come from another endpoint at the same address, so it says nothing about the limit;
+    /// that it leaves may be recorded, as the endpoint meant has then left its address.
     pub(crate) fn record_response_head(&self, target: &Name, head: &ResponseHead) {
         let now = clock::now();
         let headers = &head.headers;
@@ -272,6 +274,9 @@
             let limit = headers.find(Platform::HEADERS.limit).and_then(|limit| limit.parse().ok());
             self.apply(Event::LimitStated(target.clone(), limit));
         }
+        let pause = if head.status == 503 { self.read_pause(headers) } else { None };
+        let statement = Statement { pause, leaves: self.read_leave(headers) };
+        self.apply(Event::HeadArrived(target.clone(), statement));
         let mut state = self.state.borrow_mut();
         state.record_progress(target, now);
         let Some(load) = headers.find(Platform::HEADERS.load) else { return };
@@ -281,6 +286,37 @@
         }
     }
 
+    /// Reads the pause that an endpoint asks for; none if there is none, or it is ignored.
+    fn read_pause(&self, headers: &Headers) -> Option<Pause> {
+        match pauses::parse(headers.find(Platform::HEADERS.pause)?) {
+            Ok(pause) => {
+                self.meter.count(if pause.capped { "pause.capped" } else { "pause.stated" });
+                Some(pause)
+            }
+            Err(fault) => {
+                self.meter.count(&format!("pause.ignored.{fault}"));
+                None
+            }
+        }
+    }
+
+    /// Reads whether an endpoint states that it leaves.
+    fn read_leave(&self, headers: &Headers) -> bool {
+        let Some(value) = headers.find(Platform::HEADERS.leaves) else { return false };
+        self.meter.count(if value == "1" { "leave.stated" } else { "leave.ignored" });
+        value == "1"
+    }
+
+    /// Whether an endpoint neither pauses nor leaves, as far as it has told this daemon; a request
+    /// that is sent to it nevertheless is counted.
+    pub(crate) fn admits(&self, target: &Name) -> bool {
+        let admitted = self.state.borrow().admits(target, clock::now());
+        if !admitted {
+            self.meter.count("sent.barred");
+        }
+        admitted
+    }
+
     /// Records that a part of a response has arrived from the endpoint `target`.
     pub(crate) fn record_progress(&self, target: &Name) {
         self.state.borrow_mut().record_progress(target, clock::now());
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -31,6 +31,10 @@
     /// Requests per second that the endpoint takes from all entry daemons together, for as long as
     /// its responses state it.
     pub limit: &'static str,
+    /// Seconds for which an endpoint that turns a request away wants none from this daemon.
+    pub pause: &'static str,
+    /// 1 in all responses of an endpoint that leaves.
+    pub leaves: &'static str,
     /// Id of the last event that the caller has received; the endpoint resumes the stream after it.
     pub last_event_id: &'static str,
 }
