--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -21,6 +21,7 @@
 mod fetching;
 mod interleaving;
 mod limits;
+mod pauses;
 mod placing;
 mod stalls;
 
@@ -221,17 +222,24 @@
     }
 
     fn view(&mut self, sequence: u64, targets: &[(&str, &str, &str, u32)]) {
-        let target = |(id, service, zone, slots): &(&str, &str, &str, u32)| Target {
-            id: (*id).to_owned(),
-            address: format!("10.9.0.1:{}", 80 + sequence),
-            service: (*service).to_owned(),
-            model: if *service == "llm" { "m".to_owned() } else { String::new() },
-            group: if *service == "llm" { format!("g-{id}") } else { String::new() },
-            zone: (*zone).to_owned(),
-            slots: *slots,
-            started_unix_ms: 1,
-        };
-        let targets = targets.iter().map(target).collect();
+        self.view_started(sequence, targets, 1);
+    }
+
+    /// Like [`Harness::view`], of endpoints that have all started at `started_unix_ms`.
+    fn view_started(
+        &mut self,
+        sequence: u64,
+        targets: &[(&str, &str, &str, u32)],
+        started_unix_ms: u64,
+    ) {
+        self.receive(Body::View(view(sequence, targets, started_unix_ms)));
+    }
+
+    /// Like [`Harness::view`], with each head in another group.
+    fn regroup(&mut self, sequence: u64, targets: &[(&str, &str, &str, u32)]) {
+        let view = view(sequence, targets, 1);
+        let regroup = |target: Target| Target { group: format!("{}-2", target.group), ..target };
+        let targets = view.targets.into_iter().map(regroup).collect();
         self.receive(Body::View(View { sequence, targets }));
     }
 
@@ -270,6 +278,22 @@
     }
 }
 
+/// A view of the given endpoints, which have all started at `started_unix_ms`.
+fn view(sequence: u64, targets: &[(&str, &str, &str, u32)], started_unix_ms: u64) -> View {
+    let target = |(id, service, zone, slots): &(&str, &str, &str, u32)| Target {
+        id: (*id).to_owned(),
+        address: format!("10.9.0.1:{}", 80 + sequence),
+        service: (*service).to_owned(),
+        model: if *service == "llm" { "m".to_owned() } else { String::new() },
+        group: if *service == "llm" { format!("g-{id}") } else { String::new() },
+        zone: (*zone).to_owned(),
+        slots: *slots,
+        started_unix_ms,
+    };
+    let targets = targets.iter().map(target).collect();
+    View { sequence, targets }
+}
+
 fn request(id: u64, path: &str, now: Instant) -> Request {
     Request {
         id,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -333,3 +333,25 @@
         next => format!("complete, but the next request on the connection got {next:?}"),
     }
 }
+
+/// The only endpoint of a service turns a request away and asks for a pause: later requests don't
+/// reach it, and are refused with what is left of the pause; after it, it serves again.
+#[test]
+fn request_in_the_pause_of_the_only_endpoint_is_refused_and_does_not_reach_it() {
+    let deployment = Deployment::start();
+    deployment.set_pause(Some(3.0));
+    for number in 0..10 {
+        let refused = deployment.book(&format!("a{number}1")).expect("a complete response");
+        assert_eq!((refused.status, refused.sealed), (503, false));
+        let retry_after = refused.retry_after.expect("the refusal states when to retry");
+        assert!((2.0..=3.0).contains(&retry_after), "{retry_after} s");
+    }
+    assert_eq!(deployment.turned_away(), 1);
+    deployment.set_pause(None);
+    let served = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        let reply = deployment.book(&format!("{}1", deployment.unique_label()))?;
+        (reply.status == 200).then_some(())
+    });
+    assert!(served.is_some(), "the endpoint gets no request after its pause");
+    assert_eq!(deployment.turned_away(), 1);
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use smol::net::TcpStream;
 use tempfile::TempDir;
 
-use crate::engine::{Engine, Handle, Limit, Runs, Silence};
+use crate::engine::{Engine, Handle, Limit, Rest, Runs, Silence};
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
@@ -115,6 +116,8 @@
     limit: Limit,
     /// When the engines and the plain service send nothing.
     pub silence: Silence,
+    /// What the plain service turns away.
+    rest: Arc<Mutex<Rest>>,
     /// Number of labels that [`Deployment::unique_label`] has returned.
     label_count: AtomicU64,
 }
@@ -146,6 +149,7 @@
             runs: Runs::default(),
             limit: Limit::default(),
             silence: Silence::default(),
+            rest: Arc::default(),
             label_count: AtomicU64::new(0),
         };
         for index in 0..CONTROL_DAEMONS {
@@ -162,6 +166,7 @@
                 runs: deployment.runs.clone(),
                 limit: deployment.limit.clone(),
                 silence: deployment.silence.clone(),
+                rest: deployment.rest.clone(),
             };
             deployment.engines.push(Some(engine.start()));
         }
@@ -238,6 +243,16 @@
         *self.limit.lock().expect("no thread panics while it holds the lock") = Some(limit);
     }
 
+    /// Makes the plain service turn requests away and ask for a pause of `seconds`, or run them again.
+    pub fn set_pause(&self, seconds: Option<f64>) {
+        self.rest.lock().expect("no thread panics while it holds the lock").pause = seconds;
+    }
+
+    /// Number of requests that the plain service has turned away.
+    pub fn turned_away(&self) -> u32 {
+        self.rest.lock().expect("no thread panics while it holds the lock").turned_away
+    }
+
     /// Puts a configuration document with this version and waits until a control daemon
     /// acknowledges it.
     pub fn put(&self, version: u64) {
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -97,6 +97,15 @@
     }
 }
 
+/// Requests that plain services turn away; shared by all stand-ins.
+#[derive(Debug, Default)]
+pub struct Rest {
+    /// Seconds for which they ask for a pause; none while they run requests.
+    pub pause: Option<f64>,
+    /// Requests that they have turned away.
+    pub turned_away: u32,
+}
+
 /// Properties of a stand-in.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -112,6 +121,8 @@
     pub limit: Limit,
     /// When it sends nothing, shared by all stand-ins.
     pub silence: Silence,
+    /// What it turns away if it is a plain service.
+    pub rest: Arc<Mutex<Rest>>,
 }
 
 /// Mutable state of a stand-in.
@@ -212,6 +223,13 @@
             let line = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
             return connection.write(line.as_bytes()).await.ok();
         }
+        if let Some(pause) = self.turn_away() {
+            let line = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nDotterelhoist-Request-Id: {id}\r\n\
+                 Dotterelhoist-Not-Run: 1\r\nRetry-After: {pause}\r\nContent-Length: 0\r\n\r\n"
+            );
+            return connection.write(line.as_bytes()).await.ok();
+        }
         if let Ok(mut runs) = self.runs.lock() {
             *runs.entry(id.clone()).or_default() += 1;
         }
@@ -254,6 +272,14 @@
         connection.write(b"0\r\n\r\n").await.ok()
     }
 
+    /// Counts a request that is turned away and returns the pause to ask for; none if it is to run.
+    fn turn_away(&self) -> Option<f64> {
+        let mut rest = self.rest.lock().ok()?;
+        let pause = rest.pause.filter(|_| self.service == "desk")?;
+        rest.turned_away += 1;
+        Some(pause)
+    }
+
     /// Body of a report. A heartbeat has the same fields and some more.
     fn report(&self, shared: &Shared) -> Value {
         let inner = shared.lock().expect("no thread panics while it holds the lock");
