Keep away from endpoints that ask for a pause or leave

An entry daemon now remembers pauses and leaves by identity and incarnation, and sends no new request, retry or resumed stream there; it checks again right before the bytes are written. What all endpoints bar is refused at once with the time until the first pause ends.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -423,6 +423,7 @@
         self.refuse_expired(now, effects);
         self.send_queued(now, effects);
         self.request_slots(now, effects);
+        self.refuse_barred(now, effects);
         if now >= self.report_due {
             self.report_due = now + REPORT_INTERVAL;
             self.send_reports(now, effects);
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -65,7 +65,7 @@
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(target) = active.hedge.take() else { return };
         match end {
-            End::Unreachable => active.attempts -= 1,
+            End::Unreachable | End::Withheld => active.attempts -= 1,
             End::Declined { .. } => {}
             _ => active.may_have_run = true,
         }
@@ -104,9 +104,9 @@
         let Some(active) = self.requests.get_mut(&id) else { return false };
         match end {
             End::Answered | End::TimedOut { .. } => return false,
-            End::Unreachable if active.hedge.is_some() => active.attempts -= 1,
+            End::Unreachable | End::Withheld if active.hedge.is_some() => active.attempts -= 1,
             End::Failed { .. } | End::Lost { .. } => active.may_have_run = true,
-            End::Unreachable | End::Declined { .. } | End::Dropped => {}
+            End::Unreachable | End::Withheld | End::Declined { .. } | End::Dropped => {}
         }
         active.endpoint = active.hedge.take();
         active.promoted = active.endpoint.is_some();
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -102,6 +102,8 @@
     QueueFull,
     /// The limits of all endpoints bar the request for longer than it can wait.
     Limited,
+    /// All endpoints pause for longer than the request can wait.
+    Paused,
     /// No endpoint had a free slot within the queue timeout.
     TooLate,
     /// Endpoints declined to run it, and no further attempt is allowed or possible.
@@ -120,7 +122,7 @@
     pub fn status(self) -> u16 {
         match self {
             Reason::Starting | Reason::Outdated | Reason::Stopping | Reason::NoEndpoint => 503,
-            Reason::Declined | Reason::Crashing => 503,
+            Reason::Declined | Reason::Crashing | Reason::Paused => 503,
             Reason::QueueFull | Reason::Limited | Reason::TooLate => 429,
             Reason::NoRoute => 404,
             Reason::Unauthorized => 401,
@@ -145,6 +147,9 @@
     },
     /// No connection to the endpoint could be established, so nothing was sent.
     Unreachable,
+    /// The endpoint has asked for a pause, or stated that it leaves, since it was chosen, so nothing
+    /// was sent.
+    Withheld,
     /// The endpoint responded that it did not run the request.
     Declined {
         /// HTTP status.
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -29,7 +29,7 @@
 const QUEUE_TIMEOUT_FACTOR: f64 = 2.4;
 /// Longest time for which a request may be queued, whatever its target latency; callers abandon a
 /// stream that does not begin.
-const QUEUE_TIMEOUT_MAX: Duration = Duration::from_millis(1200);
+pub(super) const QUEUE_TIMEOUT_MAX: Duration = Duration::from_millis(1200);
 /// Time from the start of a daemon to its readiness when the whole deployment starts. Callers that
 /// are refused earlier are told to retry when it has passed.
 const COLD_START_DURATION: Duration = Duration::from_millis(2400);
@@ -173,6 +173,12 @@
         self.queue.push(requirement, Waiting { id, priority, on_time_until, expires });
         self.request_slots(now, effects);
         self.refuse_unservable(now, effects);
+        self.refuse_barred(now, effects);
+    }
+
+    /// Endpoints that were tried for a request.
+    pub(super) fn tried(&self, id: u64) -> SmallVec<[Name; 4]> {
+        self.requests.get(&id).map(|active| active.tried.clone()).unwrap_or_default()
     }
 
     /// Starts the current attempt at the endpoint `target`.
@@ -301,7 +307,7 @@
             End::Lost { .. } | End::Failed { .. } | End::Declined { .. } => {
                 self.targets.record_failure(target, false, now);
             }
-            End::TimedOut { .. } | End::Dropped => {}
+            End::TimedOut { .. } | End::Dropped | End::Withheld => {}
         }
         if matches!(end, End::Lost { .. }) {
             self.losses.record(active.request.fingerprint, target.clone(), now);
@@ -332,7 +338,7 @@
                 let Some(active) = self.requests.remove(&id) else { return };
                 self.release_hedge(&active);
             }
-            End::Unreachable => {
+            End::Unreachable | End::Withheld => {
                 active.attempts -= 1;
                 self.retry(now, id, Reason::NoEndpoint, false, effects);
             }
@@ -408,10 +414,17 @@
 
     /// Ends a request with a refusal. A request that may have run is never refused with a reason
     /// that guarantees that it has not.
-    fn refuse_active(&mut self, now: Instant, id: u64, reason: Reason, effects: &mut Vec<Effect>) {
+    pub(super) fn refuse_active(
+        &mut self,
+        now: Instant,
+        id: u64,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(active) = self.requests.get(&id) else { return };
         let deadline = active.request.deadline;
-        let retry_after = self.retry_after_refusal(now, deadline);
+        let pause_left = self.pause_left(&active.requirement, now);
+        let retry_after = pause_left.unwrap_or_else(|| self.retry_after_refusal(now, deadline));
         self.refuse_after(id, reason, retry_after, effects);
     }
 
--- a/crates/fleet/src/entry/slots.rs
+++ b/crates/fleet/src/entry/slots.rs
@@ -60,7 +60,10 @@
         for id in self.targets.limits.limited() {
             let Some(requirement) = self.targets.requirement(&id) else { continue };
             let usable_until = self.queue.last_expiry(&requirement).unwrap_or(now);
-            let wanted = self.wanted_slots(now, &requirement);
+            let wanted = match self.is_barred(&id, now) {
+                true => 0,
+                false => self.wanted_slots(now, &requirement),
+            };
             if !self.targets.limits.lacks_slot(&id, wanted, usable_until) {
                 continue;
             }
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -15,6 +15,7 @@
 use super::limits::{Limits, Outlook};
 use super::pauses::Pauses;
 use super::queue::Requirement;
+use super::serving::QUEUE_TIMEOUT_MAX;
 
 /// Lower bound of the time without any part of a response after which an endpoint counts as
 /// stalled, if at least one of its responses has begun.
@@ -238,10 +239,16 @@
             if !target.meets(requirement) || tried.contains(id) || target.is_ejected(now) {
                 continue;
             }
+            if self.pauses.leaves(id) {
+                continue;
+            }
             has_eligible = true;
             if target.load() >= target.load_limit() || !self.limits.admits(id, now) {
                 continue;
             }
+            if !self.pauses.admits(id, now) {
+                continue;
+            }
             let bits = scramble(random, index as u64);
             let jitter = (bits & 0xff) as f64 / 256.0 * JITTER_TOKENS;
             let zone_penalty =
@@ -268,11 +275,31 @@
         serving.map(|target| target.description.slots).sum()
     }
 
+    /// When the first of the endpoints that meet a requirement, other than those in `tried`, ends
+    /// its pause or its ejection; [`Instant::NEVER`] if all of them leave, none if there are none.
+    pub(super) fn admission(
+        &self,
+        requirement: &Requirement,
+        tried: &[Name],
+        now: Instant,
+    ) -> Option<Instant> {
+        let serving = self.targets.iter().filter(|(_, target)| target.meets(requirement));
+        let serving = serving.filter(|(id, _)| !tried.contains(id));
+        serving
+            .map(|(id, target)| self.pauses.barred_until(id).max(target.ejected_until).max(now))
+            .min()
+    }
+
     /// The slots of the endpoints that meet a requirement; none if one of them has no limit, or if
-    /// there is none.
+    /// there is none. Endpoints that pause for longer than any request is queued don't count.
     pub(super) fn outlook(&self, requirement: &Requirement, now: Instant) -> Option<Outlook> {
-        let usable = |target: &Target| target.meets(requirement) && !target.is_ejected(now);
-        let mut usable = self.targets.iter().filter(|(_, target)| usable(target)).peekable();
+        let latest = now + QUEUE_TIMEOUT_MAX;
+        let usable = |id: &Name, target: &Target| {
+            target.meets(requirement)
+                && !target.is_ejected(now)
+                && latest >= self.pauses.barred_until(id)
+        };
+        let mut usable = self.targets.iter().filter(|(id, target)| usable(id, target)).peekable();
         usable.peek()?;
         usable.try_fold(Outlook::default(), |outlook, (id, _)| self.limits.extend(id, now, outlook))
     }
@@ -297,6 +324,7 @@
     /// Records that a request was sent to an endpoint.
     pub fn record_send(&mut self, id: &Name, prompt_tokens: u32, now: Instant) {
         self.limits.use_slot(id, now);
+        self.pauses.record_send(id, now);
         let Some(target) = self.targets.get_mut(id) else { return };
         if target.running == 0 {
             target.last_progress = now;
--- a/crates/fleet/tests/entry/pauses.rs
+++ b/crates/fleet/tests/entry/pauses.rs
@@ -17,12 +17,12 @@
 
     fn ask_for_pause(&mut self, endpoint: &str, pause_ms: u64) {
         let pause = Pause { length: Duration::from_millis(pause_ms), capped: false };
-        let statement = Statement { pause: Some(pause), leaves: false };
+        let statement = Statement { turned_away: true, pause: Some(pause), leaves: false };
         self.apply(Event::HeadArrived(endpoint.into(), statement));
     }
 
     fn leave(&mut self, endpoint: &str) {
-        let statement = Statement { pause: None, leaves: true };
+        let statement = Statement { leaves: true, ..Statement::default() };
         self.apply(Event::HeadArrived(endpoint.into(), statement));
     }
 
@@ -276,12 +276,30 @@
     let mut harness = Harness::open(TWO_PLAIN);
     harness.send(1, "/read/x");
     let first = harness.attempt(1).target;
-    harness.apply(Event::HeadArrived(first.clone(), Statement::default()));
+    let statement = Statement { turned_away: true, ..Statement::default() };
+    harness.apply(Event::HeadArrived(first.clone(), statement));
     harness.apply(Event::AttemptEnded(1, DECLINED));
     harness.answer(1);
     assert!(harness.count_sent(2..=100, "/read/x", &first) > 0);
 }
 
+#[test]
+fn request_withheld_from_an_endpoint_that_is_barred_uses_up_no_attempt() {
+    let mut harness = Harness::open(TWO_PLAIN);
+    harness.apply(Event::Connected(UNSELECTED_CONTROL.into()));
+    harness.send(1, "/book/x");
+    let first = harness.attempt(1).target;
+    harness.ask_for_pause(&first, 3000);
+    assert!(harness.state.is_barred(&first, harness.now));
+    harness.apply(Event::AttemptEnded(1, End::Withheld));
+    assert_ne!(harness.attempt(1).target, first);
+    assert_eq!(harness.attempt(1).number, 1);
+    harness.unselected_reports.clear();
+    harness.ticks(100);
+    let reports = &harness.unselected_reports;
+    assert!(!reports.is_empty() && reports.iter().all(|report| report.suspects.is_empty()));
+}
+
 #[rstest]
 #[case::whole("3", Ok(3000))]
 #[case::fraction("0.25", Ok(250))]
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -274,8 +274,9 @@
             let limit = headers.find(Platform::HEADERS.limit).and_then(|limit| limit.parse().ok());
             self.apply(Event::LimitStated(target.clone(), limit));
         }
-        let pause = if head.status == 503 { self.read_pause(headers) } else { None };
-        let statement = Statement { pause, leaves: self.read_leave(headers) };
+        let turned_away = head.status == 503;
+        let pause = if turned_away { self.read_pause(headers) } else { None };
+        let statement = Statement { turned_away, pause, leaves: self.read_leave(headers) };
         self.apply(Event::HeadArrived(target.clone(), statement));
         let mut state = self.state.borrow_mut();
         state.record_progress(target, now);
@@ -307,14 +308,9 @@
         value == "1"
     }
 
-    /// Whether an endpoint neither pauses nor leaves, as far as it has told this daemon; a request
-    /// that is sent to it nevertheless is counted.
-    pub(crate) fn admits(&self, target: &Name) -> bool {
-        let admitted = self.state.borrow().admits(target, clock::now());
-        if !admitted {
-            self.meter.count("sent.barred");
-        }
-        admitted
+    /// Whether an endpoint pauses or leaves, as far as it has told this daemon.
+    pub(crate) fn is_barred(&self, target: &Name) -> bool {
+        self.state.borrow().is_barred(target, clock::now())
     }
 
     /// Records that a part of a response has arrived from the endpoint `target`.
@@ -563,6 +559,7 @@
         End::Answered => "answered",
         End::Failed { .. } => "failed",
         End::Unreachable => "unreachable",
+        End::Withheld => "withheld",
         End::Declined { .. } => "declined",
         End::Lost { .. } => "lost",
         End::TimedOut { .. } => "timed_out",
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -141,7 +141,10 @@
 {
     let connection = shell.pool.connect(&attempt.address).await;
     let mut connection = connection.ok_or(End::Unreachable)?;
-    shell.admits(&attempt.target);
+    // The pause may have begun while the connection was being established.
+    if shell.is_barred(&attempt.target) {
+        return Err(End::Withheld);
+    }
     let bytes = encode_request::<Platform>(incoming, attempt, last_event_id);
     connection.write(&bytes).await.map_err(|_| End::Lost { broken: true })?;
     let head = connection.read_response_head(&incoming.head.method, MAX_HEAD_BYTES).await;
