Pass a request to join on to the leader

A control daemon that was replaced as voter while it was suspended asks the voters that its log names to replicate to it again. A follower now passes the request on to the leader that it has heard from within the election timeout.

Not run: long property runs of the replica, real processes.

--- a/crates/core/src/replica/voters.rs
+++ b/crates/core/src/replica/voters.rs
@@ -1,15 +1,16 @@
 //! Changes of the voter list: learners become voters, and replicas whose disk is lost or that do
 //! not answer are removed.
 
-use super::message::{Entry, Voter};
+use super::message::{Entry, Payload, Voter};
 use super::progress::Progress;
-use super::{quorum, Instant, Name, Output, Replica, REPLACE_AFTER};
+use super::{quorum, Instant, Name, Output, Replica, Role, REPLACE_AFTER};
 
 impl Replica {
     /// Starts to replicate to a daemon that asks for it, as a learner. Daemons of current and
     /// initial voters may join, others only after [`Replica::set_max_voters`].
     pub(super) fn receive_join(&mut self, now: Instant, voter: Voter, outputs: &mut Vec<Output>) {
         if !self.leads(now) {
+            self.forward_join(now, voter, outputs);
             return;
         }
         let known_voters = self.initial_voters.iter().chain(self.log.voters());
@@ -26,6 +27,14 @@
         self.send_append(&replica, now, outputs);
     }
 
+    /// Passes a request to join on to the leader, which a replica that was removed may not know.
+    fn forward_join(&self, now: Instant, voter: Voter, outputs: &mut Vec<Output>) {
+        let heard = self.last_leader_contact.is_some_and(|at| now.since(at) < self.timing.election);
+        let leader = self.leader.as_ref().filter(|_| heard && self.role == Role::Follower);
+        let Some(leader) = leader.filter(|leader| *leader.daemon != *voter.daemon) else { return };
+        outputs.push(Output::Send(leader.daemon.clone(), Payload::Join(voter)));
+    }
+
     /// Turns a learner that has caught up into a voter, with one change of the voter list at a
     /// time; the next change waits until the last one is committed. If its daemon's old identity is
     /// in the list, or the list is full and a voter does not answer, that voter is removed first.
