Print the daemons' logs when a test or the quickstart fails

Cause: the log files of a test's daemons went with their temporary folder, so the failure of partitioned_zone_serves_generation_and_refuses_bookings and that of the quickstart could not be traced. Change: a Deployment that is dropped while its thread panics prints all its log files; the quickstart prints them when it fails. Deployment::logs returns them.

--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -19,6 +19,9 @@
 /// Time after which waiting for a condition panics, so that a test fails instead of hanging.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Extension of the log files of a deployment's processes.
+const LOG_EXTENSION: &str = "log";
+
 /// Addresses on which one daemon listens.
 #[derive(Clone, Debug)]
 pub struct Addresses {
@@ -47,7 +50,8 @@
     pub process: Option<Process>,
 }
 
-/// The daemons of a deployment with their files and settings.
+/// The daemons of a deployment with their files and settings. If it is dropped while its thread
+/// panics, as when a test fails, the log files are printed before they are removed.
 #[derive(Debug)]
 pub struct Deployment {
     /// Temporary folder that holds all files; removed when the deployment is dropped.
@@ -230,7 +234,26 @@
 
     /// File to which standard error of a daemon or stand-in process is appended.
     pub fn log_file(&self, name: &str) -> PathBuf {
-        self.folder.path().join(format!("{name}.log"))
+        self.folder.path().join(format!("{name}.{LOG_EXTENSION}"))
+    }
+
+    /// Contents of all log files, each below a line with the name of its process, by name.
+    pub fn logs(&self) -> String {
+        let entries = std::fs::read_dir(self.folder.path()).into_iter().flatten().flatten();
+        let is_log = |path: &PathBuf| path.extension().is_some_and(|text| text == LOG_EXTENSION);
+        let mut files: Vec<PathBuf> =
+            entries.map(|entry| entry.path()).filter(|path| is_log(path)).collect();
+        files.sort();
+        let mut text = String::new();
+        for file in files {
+            let name = file.file_stem().unwrap_or_default().to_string_lossy();
+            let contents = std::fs::read(&file).unwrap_or_default();
+            text.push_str(&format!("--- log of {name}\n{}", String::from_utf8_lossy(&contents)));
+            if !text.ends_with('\n') {
+                text.push('\n');
+            }
+        }
+        text
     }
 
     /// Writes a daemon's settings file and starts the daemon. Replicas in a new data folder are
@@ -337,6 +360,14 @@
     }
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprint!("{}", self.logs());
+        }
+    }
+}
+
 /// Number of routes in a daemon's status that accept new requests.
 pub fn accepting_routes(status: &Value) -> usize {
     let routes = status["routes"].as_array();
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -49,17 +49,27 @@
     }
 }
 
+/// Runs the example, and prints the daemons' logs if it fails.
 async fn run() -> Result<(), String> {
     let mut deployment = Deployment::plan(&ZONES, 2, 0, role::command_line("daemon"));
+    let result = exercise(&mut deployment).await;
+    if result.is_err() {
+        eprint!("{}", deployment.logs());
+    }
+    result
+}
+
+/// Starts the deployment, sends it the requests, and stops it.
+async fn exercise(deployment: &mut Deployment) -> Result<(), String> {
     deployment.start_all();
-    let mut stand_ins = start_stand_ins(&deployment)?;
+    let mut stand_ins = start_stand_ins(deployment)?;
     deployment.wait_until_ready().await;
     println!("6 daemons in 3 availability zones are ready");
-    apply(&deployment)?;
+    apply(deployment)?;
     deployment.wait_for_routes(ZONES.len() + 1).await;
     println!("3 serving groups of 2 members and 1 plain service accept requests");
     let started = Instant::now();
-    let first_half = send(&deployment, 0..REQUESTS / 2).await;
+    let first_half = send(deployment, 0..REQUESTS / 2).await;
     let member = stand_ins.remove(0);
     let kill_member = async {
         let mut member = member;
@@ -67,12 +77,12 @@
         member.kill();
     };
     let (second_half, ()) =
-        smol::future::zip(send(&deployment, REQUESTS / 2..REQUESTS), kill_member).await;
+        smol::future::zip(send(deployment, REQUESTS / 2..REQUESTS), kill_member).await;
     let outcomes: Vec<Outcome> = first_half.into_iter().chain(second_half).collect();
-    report(&deployment, &outcomes, started).await;
-    let explanation = explain(&deployment, &outcomes)?;
+    report(deployment, &outcomes, started).await;
+    let explanation = explain(deployment, &outcomes)?;
     println!("{explanation}");
-    stop(&mut deployment)?;
+    stop(deployment)?;
     for (number, outcome) in outcomes.iter().enumerate().filter(|(_, outcome)| !outcome.served) {
         println!(
             "request {number} was not served; the last response was: {}",
