Keep claim-log voters until the other stopping daemons have recorded their usage lines

Cause: daemons that are asked to stop at once ended as soon as their own usage lines were recorded. The last ones then had no quorum of the claim log, waited 10 s, and wrote their lines to their own logs only. Change: a ping says whether its sender is stopping and still has requests or usage lines; it is also sent when the shutdown begins. A stopping daemon with a replica of a claim log stays for at least STOP_NOTICE (0.5 s) and while a linked daemon says so, but no longer than USAGE_RECORDING_TIMEOUT after its last request. A daemon without live links or without such a replica stops as before.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -268,6 +268,9 @@
     /// Whether the sender answers callers.
     #[prost(bool, tag = "2")]
     pub ready: bool,
+    /// Whether the sender is stopping and still has requests or unrecorded usage lines.
+    #[prost(bool, tag = "3")]
+    pub finishing: bool,
 }
 
 /// Requests committed entries of a log; answered with a [`FetchReply`].
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -36,6 +36,9 @@
 /// Time for which a stopping daemon without requests in flight waits for its usage lines to be
 /// recorded. After that it writes the unrecorded lines to its own log and stops.
 pub const USAGE_RECORDING_TIMEOUT: Duration = Duration::from_millis(10_000);
+/// Time for which a stopping daemon with a replica of a claim log stays at least, so that it learns
+/// which linked daemons are stopping too and still need that log.
+pub const STOP_NOTICE: Duration = Duration::from_millis(500);
 /// Allowance for clock drift that the leader of a claim log adds to the time for which a holder may
 /// run its request. When both have passed, the leader closes the claim with an unknown result.
 pub const CLAIM_GRACE: Duration = Duration::from_millis(2000);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -23,7 +23,7 @@
 use crate::membership;
 use crate::message::Summary;
 use crate::placement::Manager;
-use crate::policy::{Policy, USAGE_RECORDING_TIMEOUT};
+use crate::policy::{Policy, STOP_NOTICE, USAGE_RECORDING_TIMEOUT};
 use crate::replica::message::Voter;
 use crate::replica::{Identity, Stored, Timing};
 use crate::retry::Budget;
@@ -293,7 +293,8 @@
         self.update_readiness(now, effects);
     }
 
-    /// Begins a graceful shutdown: new requests are refused, those in flight run to their end.
+    /// Begins a graceful shutdown: new requests are refused, those in flight run to their end. The
+    /// linked daemons are told at once, because those that stop too wait for this one.
     fn begin_stop(&mut self, effects: &mut Effects) {
         if self.stopping {
             return;
@@ -301,11 +302,13 @@
         self.stopping = true;
         let running = self.requests.len();
         effects.push(Effect::Log(journal::Event::Stopping { running }));
+        self.send_pings(effects);
     }
 
     /// Completes a graceful shutdown once no request is left and all usage lines are recorded.
     /// Lines that are not recorded within [`USAGE_RECORDING_TIMEOUT`] after the last request are
-    /// written to the daemon's log instead.
+    /// written to the daemon's log instead. For at most that time the daemon also waits for other
+    /// stopping daemons that need its replica of a claim log.
     fn finish_stop(&mut self, now: Instant, effects: &mut Effects) {
         if !self.stopping || self.stopped || !self.requests.is_empty() {
             return;
@@ -317,11 +320,35 @@
             }
             self.log_unrecorded_usage(effects);
         }
+        if self.is_needed_by_stopping_peer(now, idle) {
+            return;
+        }
         self.stopped = true;
         effects.push(Effect::Log(journal::Event::Stopped));
         effects.push(Effect::Stopped);
     }
 
+    /// Whether no request is left and all usage lines are recorded.
+    fn is_finished(&self) -> bool {
+        self.requests.is_empty() && self.is_usage_recorded()
+    }
+
+    /// Whether this daemon has a replica of a claim log that a linked daemon, which is stopping
+    /// too, needs to end its requests or record its usage lines. `idle` is the time at which this
+    /// daemon ended its last request; within [`STOP_NOTICE`] after it the answer isn't known yet.
+    fn is_needed_by_stopping_peer(&self, now: Instant, idle: Instant) -> bool {
+        let waited = now.since(idle);
+        let has_replica = self.logs.values().any(|hosted| hosted.content == Content::Claims);
+        if !has_replica || waited >= USAGE_RECORDING_TIMEOUT {
+            return false;
+        }
+        let mut live = self.links.values().filter(|link| link.is_live(now)).peekable();
+        if waited < STOP_NOTICE && live.peek().is_some() {
+            return true;
+        }
+        live.any(|link| link.finishing)
+    }
+
     /// Increments a counter, here for the status and through an effect for the metrics.
     fn count(&mut self, counter: Counter, effects: &mut Effects) {
         self.counters.add(counter);
--- a/crates/core/src/state/links.rs
+++ b/crates/core/src/state/links.rs
@@ -28,6 +28,8 @@
     pub revision: u64,
     /// Whether the other daemon accepts requests.
     pub ready: bool,
+    /// Whether the other daemon is stopping and still has requests or unrecorded usage lines.
+    pub finishing: bool,
     /// Route entries that the other daemon has sent, by the handle that identifies each in later
     /// messages.
     pub entries: BTreeMap<u32, RemoteEntry>,
@@ -45,8 +47,14 @@
     /// requests.
     pub(super) fn add_link(&mut self, now: Instant, hello: Hello, effects: &mut Effects) {
         let peer: Name = hello.daemon.as_str().into();
-        let link =
-            Link { hello, alive_as_of: now, revision: 0, ready: false, entries: BTreeMap::new() };
+        let link = Link {
+            hello,
+            alive_as_of: now,
+            revision: 0,
+            ready: false,
+            finishing: false,
+            entries: BTreeMap::new(),
+        };
         self.links.insert(peer.clone(), link);
         effects.push(Effect::Log(journal::Event::LinkUp { peer: peer.clone() }));
         self.publish_all_entries(now, &peer, effects);
@@ -77,6 +85,7 @@
             Body::Ping(ping) => {
                 link.revision = ping.revision;
                 link.ready = ping.ready;
+                link.finishing = ping.finishing;
             }
             Body::Log(envelope) => self.receive_log_message(now, envelope, random, effects),
             Body::Announcements(list) => {
@@ -111,11 +120,22 @@
             return;
         }
         self.schedule.ping = now + PING_INTERVAL;
-        let ping = Ping { revision: self.view.revision, ready: self.is_serving() };
         for (peer, link) in &self.links {
             if now.since(link.alive_as_of) > LINK_SILENCE_MAX {
                 effects.push(Effect::CloseLink(peer.clone()));
             }
+        }
+        self.send_pings(effects);
+    }
+
+    /// Sends a ping on each link.
+    pub(super) fn send_pings(&self, effects: &mut Effects) {
+        let ping = Ping {
+            revision: self.view.revision,
+            ready: self.is_serving(),
+            finishing: self.stopping && !self.is_finished(),
+        };
+        for peer in self.links.keys() {
             let body = Body::Ping(ping.clone());
             effects.push(Effect::Send { to: peer.clone(), body });
         }
--- a/crates/core/tests/system/main.rs
+++ b/crates/core/tests/system/main.rs
@@ -330,6 +330,61 @@
     assert_eq!(world.nodes[1].unrecorded.len(), 1);
 }
 
+/// All daemons are asked to stop at once, shortly after each of them has served a request. The
+/// daemons that keep the claim log stay until the others have recorded their usage lines, so that
+/// no line is lost and no daemon waits in vain.
+#[test]
+fn stop_of_all_daemons_records_usage_lines() {
+    for seed in 60..80 {
+        println!("seed {seed}");
+        let mut world = deployed_world(seed);
+        let all = 0..world.nodes.len();
+        let calls: Vec<usize> =
+            all.clone().map(|at| world.submit(at, &completion(at as u64))).collect();
+        world.run_until("the answers", |world| {
+            calls.iter().all(|call| world.history.calls[*call].response.is_some())
+        });
+        world.run(100 * (seed % 8));
+        for at in all.clone() {
+            world.stop(at);
+        }
+        for _ in 0..1000 {
+            world.run(10);
+            for at in all.clone() {
+                if world.nodes[at].stopped {
+                    world.kill(at);
+                }
+            }
+        }
+        let running: Vec<&str> = world
+            .nodes
+            .iter()
+            .filter(|node| node.state.is_some())
+            .map(|node| node.name.as_str())
+            .collect();
+        assert_eq!(running, [""; 0], "still running 10 s after they were asked to stop");
+        let unrecorded: usize = world.nodes.iter().map(|node| node.unrecorded.len()).sum();
+        assert_eq!(unrecorded, 0);
+    }
+}
+
+/// A daemon that stops alone, while the others serve requests and record usage lines all the time,
+/// does not wait for them.
+#[test]
+fn stop_of_one_daemon_does_not_wait_for_serving_daemons() {
+    let mut world = deployed_world(80);
+    for number in 0..60u64 {
+        for at in 1..world.nodes.len() {
+            world.submit(at, &completion(number));
+        }
+        if number == 10 {
+            world.stop(0);
+        }
+        world.run(50);
+    }
+    assert!(world.nodes[0].stopped, "still running 2.5 s after it was asked to stop");
+}
+
 #[test]
 fn claim_resent_to_every_daemon_runs_once() {
     let mut world = deployed_world(7);
--- a/examples/measure/slopes.rs
+++ b/examples/measure/slopes.rs
@@ -262,7 +262,7 @@
 
 /// Cost of a tick, by the number of links.
 fn measure_links() {
-    let ping = Body::Ping(Ping { revision: 70_000, ready: true });
+    let ping = Body::Ping(Ping { revision: 70_000, ready: true, finishing: false });
     println!("ping on a link: {} B, four per second in each direction", frame_bytes(ping));
     println!("  {:>7} {:>20}", "links", "us a tick, all links");
     for links in [2, 75, 200] {
