Close the links of the partitioned zone before they are forwarded again in its test

Cause: the test disconnected its proxies and connected them again at once, while each proxy checks every 5 ms; whether any link was closed depended on chance. Change: Proxy::wait_until_closed; the test waits until all links of the zone are closed. A booking that fails afterwards is reported with the daemon's routes.

--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -2,7 +2,7 @@
 //! closing its connections or by holding back their data.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,8 @@
 
 use crate::server;
 
-/// Time between two checks of whether the proxy is disconnected or paused.
+/// Time between two checks of whether the proxy is disconnected or paused, or its connections are
+/// closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A proxy in front of one listener.
@@ -24,6 +25,8 @@
     disconnected: Arc<AtomicBool>,
     /// Whether received data is held back.
     paused: Arc<AtomicBool>,
+    /// Number of accepted connections that are not closed yet.
+    open: Arc<AtomicUsize>,
     /// Accepts connections; the proxy stops listening when this is dropped.
     _task: Task<()>,
 }
@@ -34,16 +37,27 @@
         let (listener, address) = server::bind().await;
         let disconnected = Arc::new(AtomicBool::new(false));
         let paused = Arc::new(AtomicBool::new(false));
-        let task = smol::spawn(accept(listener, target, disconnected.clone(), paused.clone()));
-        Proxy { address, disconnected, paused, _task: task }
+        let open = Arc::new(AtomicUsize::new(0));
+        let accepting =
+            accept(listener, target, disconnected.clone(), paused.clone(), open.clone());
+        let task = smol::spawn(accepting);
+        Proxy { address, disconnected, paused, open, _task: task }
     }
 
     /// Closes all open connections and closes new ones as soon as they are accepted, or forwards
-    /// new connections again.
+    /// new connections again. Open connections are closed soon afterwards; see
+    /// [`Proxy::wait_until_closed`].
     pub fn set_disconnected(&self, disconnected: bool) {
         self.disconnected.store(disconnected, Ordering::Relaxed);
     }
 
+    /// Waits until all connections are closed. The proxy must be disconnected.
+    pub async fn wait_until_closed(&self) {
+        while self.open.load(Ordering::Relaxed) > 0 {
+            Timer::after(POLL_INTERVAL).await;
+        }
+    }
+
     /// Holds back all data while connections stay open, or forwards it again.
     pub fn set_paused(&self, paused: bool) {
         self.paused.store(paused, Ordering::Relaxed);
@@ -57,14 +71,19 @@
     target: SocketAddr,
     disconnected: Arc<AtomicBool>,
     paused: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
 ) {
     while let Ok((incoming, _)) = listener.accept().await {
         if disconnected.load(Ordering::Relaxed) {
             continue;
         }
-        let (disconnected, paused) = (disconnected.clone(), paused.clone());
+        let (disconnected, paused, open) = (disconnected.clone(), paused.clone(), open.clone());
+        open.fetch_add(1, Ordering::Relaxed);
         smol::spawn(async move {
-            let Ok(outgoing) = TcpStream::connect(target).await else { return };
+            let Ok(outgoing) = TcpStream::connect(target).await else {
+                open.fetch_sub(1, Ordering::Relaxed);
+                return;
+            };
             let requests = copy(incoming.clone(), outgoing.clone(), &paused);
             let responses = copy(outgoing.clone(), incoming.clone(), &paused);
             let disconnection = async {
@@ -75,6 +94,7 @@
             requests.or(responses).or(disconnection).await;
             incoming.shutdown(std::net::Shutdown::Both).ok();
             outgoing.shutdown(std::net::Shutdown::Both).ok();
+            open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
     }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -345,6 +345,9 @@
             proxy.set_paused(false);
             proxy.set_disconnected(true);
         }
+        for proxy in &proxies {
+            proxy.wait_until_closed().await;
+        }
         for proxy in &proxies {
             proxy.set_disconnected(false);
         }
@@ -355,7 +358,8 @@
             Timer::after(Duration::from_millis(50)).await;
             reply = call(partitioned_address, &booking).await.expect("the daemon answers");
         }
-        assert_eq!(reply.status, 200, "{}", reply.body);
+        let status = scenario.deployment.status("zone-a-0").await;
+        assert_eq!(reply.status, 200, "{}; routes now: {:#}", reply.body, status["routes"]);
         assert_eq!(scenario.plain_service.history.executions().len(), 1);
     });
 }
