--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -688,3 +688,30 @@
     assert_eq!(to_others.count(), 0, "{:?}", cluster.releases);
     assert!(!cluster.releases.is_empty(), "the group is not dissolved");
 }
+
+/// A suspicion must not change how the endpoints are divided among the models either: groups of
+/// other endpoints go on too, whatever the numbers of endpoints and groups.
+#[rstest]
+fn endpoint_that_is_silent_for_a_moment_moves_no_group(
+    #[values(1, 2)] domains: usize,
+    #[values(8, 9, 10, 11, 13)] endpoints: usize,
+    #[values((4, 2), (3, 2), (5, 1))] sizes: (usize, usize),
+    #[values(0, 1)] head_at: usize,
+) {
+    let (large, small) = sizes;
+    let mut cluster = serving_cluster_with(Shape { domains, endpoints, large, small });
+    let heads = cluster.heads();
+    let head = heads[head_at * (heads.len() - 1)].clone();
+    cluster.releases.clear();
+    cluster.set_silent(&head, true);
+    cluster.run(SUSPECTED_AFTER);
+    cluster.suspects = vec![head.to_string()];
+    cluster.run(Duration::from_millis(1500) - SUSPECTED_AFTER);
+    cluster.set_silent(&head, false);
+    cluster.run(SUSPICION_TTL);
+    cluster.suspects.clear();
+    cluster.run(SECOND * 6);
+    assert!(cluster.releases.is_empty(), "{:?}", cluster.releases);
+    assert!(cluster.heads_in_view.contains(&head), "the head is not in the view");
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -45,6 +45,8 @@
                 route("stream", Kind::Streaming, "llm"),
                 route("read", Kind::Idempotent, "desk"),
                 route("book", Kind::NonIdempotent, "desk"),
+                Route { resumable: false, ..route("once", Kind::Streaming, "llm") },
+                route("order", Kind::NonIdempotent, "llm"),
             ],
             services: vec![
                 model_service(),
--- a/crates/fleet/tests/entry/stalls.rs
+++ b/crates/fleet/tests/entry/stalls.rs
@@ -313,3 +313,34 @@
     let after = harness.now.since(taken_over);
     assert!(after <= Duration::from_secs(3), "{after:?}");
 }
+
+/// A request that may run only once must not run at a second endpoint, however long the first is
+/// silent; it is not ended for that silence either.
+#[rstest]
+#[case::not_resumable("/once/x", false)]
+#[case::not_resumable_begun("/once/x", true)]
+#[case::not_idempotent("/order/x", false)]
+fn request_that_may_run_once_gets_no_second_attempt(#[case] path: &str, #[case] begun: bool) {
+    let mut harness = Harness::open(TWO_GROUPS);
+    harness.send(1, path);
+    if begun {
+        begin(&mut harness, 1);
+    }
+    harness.advance(5000);
+    assert!(harness.hedges.is_empty(), "{:?}", harness.hedges);
+    assert_eq!(harness.decisions[&1].len(), 1, "the attempt goes on");
+    harness.apply(Event::AttemptEnded(1, LOST));
+    assert_eq!(harness.refusal(1).reason, Reason::Lost);
+}
+
+/// A request that waits for its first part when its only endpoint with room is silent goes on there.
+#[test]
+fn request_without_another_endpoint_goes_on_at_a_silent_one() {
+    let mut harness = Harness::open(&[("e1", "llm", "a", 4)]);
+    for id in 1..=4 {
+        harness.send(id, "/stream/x");
+    }
+    harness.advance(5000);
+    assert!(harness.hedges.is_empty());
+    assert!((1..=4).all(|id| harness.decisions[&id].len() == 1), "{:?}", harness.decisions);
+}
