An endpoint that answers a probe with an error is alive

Cause: any answer other than a report (for example 503) counted as no answer, so an endpoint that had paused and whose heartbeats were late was dissolved with its group as silent. Change: the result of a probe is one type (probe::Outcome) in place of an optional state and a flag, and an answer ends an outage.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -20,6 +20,7 @@
 use crate::message::{AgedHeartbeat, Body, Heartbeats, Hello, Replication};
 use crate::order::{Order, Outcome};
 use crate::patch::Original;
+use crate::probe;
 use crate::Name;
 
 pub mod distribution;
@@ -133,10 +134,8 @@
     ProbeFinished {
         /// Identity of the endpoint.
         id: Name,
-        /// State that the endpoint returned; none if it did not answer.
-        heartbeat: Option<Box<Heartbeat>>,
-        /// Whether its address refused the connection.
-        refused: bool,
+        /// What it has shown.
+        outcome: probe::Outcome,
     },
 }
 
@@ -308,8 +307,8 @@
             Event::OrderFinished { ticket, outcome } => {
                 self.planner.record_outcome(now, ticket, outcome, &mut self.endpoints, effects);
             }
-            Event::ProbeFinished { id, heartbeat, refused } => {
-                self.record_probe(now, &id, heartbeat, refused, effects)
+            Event::ProbeFinished { id, outcome } => {
+                self.record_probe(now, &id, outcome, effects);
             }
         }
         self.process_outputs(now, effects);
@@ -449,18 +448,20 @@
         &mut self,
         now: Instant,
         id: &Name,
-        heartbeat: Option<Box<Heartbeat>>,
-        refused: bool,
+        outcome: probe::Outcome,
         effects: &mut Vec<Effect>,
     ) {
         let Some(endpoint) = self.endpoints.find_mut(id) else { return };
-        if let Some(heartbeat) = heartbeat {
-            endpoint.last_seen = now;
-            endpoint.outage = None;
-            endpoint.heartbeat.membership = heartbeat.membership;
-            endpoint.heartbeat.staged = heartbeat.staged;
-            return;
-        }
+        let refused = match outcome {
+            probe::Outcome::Refused => true,
+            probe::Outcome::Unanswered => false,
+            probe::Outcome::Answered => return endpoint.record_answer(now),
+            probe::Outcome::Report(heartbeat) => {
+                endpoint.heartbeat.membership = heartbeat.membership;
+                endpoint.heartbeat.staged = heartbeat.staged;
+                return endpoint.record_answer(now);
+            }
+        };
         let since = self.reachability.reachable_since(&endpoint.heartbeat.zone);
         if endpoint.record_failure(now, since, refused) {
             let detail =
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -170,6 +170,12 @@
             || now.since(self.last_seen.max(since)) >= timeout
     }
 
+    /// Records that it has responded, which ends an outage.
+    pub fn record_answer(&mut self, now: Instant) {
+        self.last_seen = now;
+        self.outage = None;
+    }
+
     /// Records that a probe or an order did not reach it. Returns whether that began an outage; one
     /// from before `since` is over.
     pub fn record_failure(&mut self, now: Instant, since: Instant, refused: bool) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod message;
 pub mod order;
 pub mod patch;
+pub mod probe;
 
 pub use dotterelhoist_core::Name;
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -21,6 +21,7 @@
 use dotterelhoist_fleet::message::{Body, Fetch, Hello, Report};
 use dotterelhoist_fleet::order::{Order, Outcome, Task};
 use dotterelhoist_fleet::patch::Patch;
+use dotterelhoist_fleet::probe;
 use dotterelhoist_fleet::Name;
 
 pub const STEP: Duration = Duration::from_millis(25);
@@ -108,6 +109,8 @@
     pub partitioned: bool,
     /// Whether it makes no progress and answers nothing; connections to it are accepted.
     pub silent: bool,
+    /// Whether it makes no progress, sends no heartbeats and answers probes with an error.
+    pub answers_errors: bool,
     pub membership: Option<Membership>,
     members: Vec<Name>,
     /// When the model is loaded; for an open head, when its group was last complete.
@@ -226,6 +229,7 @@
             dead: false,
             partitioned: false,
             silent: false,
+            answers_errors: false,
             membership: None,
             members: Vec::new(),
             ready_at: self.now,
@@ -512,15 +516,13 @@
                 Effect::Probe { id, .. } => {
                     let engine = self.engines.get(&id);
                     if engine.is_some_and(|engine| engine.silent) {
-                        let event = Event::ProbeFinished { id, heartbeat: None, refused: false };
+                        let event =
+                            Event::ProbeFinished { id, outcome: probe::Outcome::Unanswered };
                         self.delayed_events.push((self.now + PROBE_TIMEOUT, name.clone(), event));
                         continue;
                     }
-                    let found = engine.filter(|engine| !engine.dead && !engine.partitioned);
-                    let refused = engine.is_some_and(|engine| engine.partitioned);
-                    let heartbeat = found.map(|engine| Box::new(engine.heartbeat()));
-                    self.inbox
-                        .push((name.clone(), Event::ProbeFinished { id, heartbeat, refused }));
+                    let outcome = engine.map_or(probe::Outcome::Unanswered, Engine::answer_probe);
+                    self.inbox.push((name.clone(), Event::ProbeFinished { id, outcome }));
                 }
                 Effect::Answer(ticket, answer) => {
                     self.answers.insert(ticket, answer);
@@ -537,7 +539,7 @@
         if engine.partitioned {
             return Outcome::Refused;
         }
-        if engine.dead || engine.silent {
+        if engine.dead || engine.silent || engine.answers_errors {
             return Outcome::Unanswered;
         }
         if self.delay_orders {
@@ -674,7 +676,7 @@
         if engine.stops_at.is_some_and(|at| now >= at) {
             engine.dead = true;
         }
-        if engine.dead || engine.silent {
+        if engine.dead || engine.silent || engine.answers_errors {
             return;
         }
         if engine.copying.as_ref().is_some_and(|(_, done)| now >= *done) {
@@ -727,6 +729,19 @@
 }
 
 impl Engine {
+    fn answer_probe(&self) -> probe::Outcome {
+        if self.partitioned {
+            return probe::Outcome::Refused;
+        }
+        if self.dead {
+            return probe::Outcome::Unanswered;
+        }
+        if self.answers_errors {
+            return probe::Outcome::Answered;
+        }
+        probe::Outcome::Report(Box::new(self.heartbeat()))
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             id: self.id.to_string(),
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -672,6 +672,20 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// An endpoint that answers a probe with an error is alive, for example one that asks for a pause.
+#[test]
+fn group_whose_head_answers_probes_with_an_error_keeps_its_streams() {
+    let mut cluster = serving_cluster(2);
+    let head = cluster.head_of_size(4);
+    cluster.releases.clear();
+    if let Some(engine) = cluster.engines.get_mut(&head) {
+        engine.answers_errors = true;
+    }
+    cluster.suspects = vec![head.to_string()];
+    cluster.run(SECOND * 6);
+    assert!(cluster.releases.is_empty(), "{:?}", cluster.releases);
+}
+
 /// Without its other members the head would break off the requests that it may still finish.
 #[test]
 fn group_that_drains_keeps_its_members_while_its_head_is_silent_for_a_moment() {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -241,9 +241,8 @@
                     self.meter.count("probes");
                     let shell = self.clone();
                     let probe = async move {
-                        let (heartbeat, refused) =
-                            orders::probe(&shell.protocol, &id, &address).await;
-                        shell.apply(Event::ProbeFinished { id, heartbeat, refused });
+                        let outcome = orders::probe(&shell.protocol, &id, &address).await;
+                        shell.apply(Event::ProbeFinished { id, outcome });
                     };
                     self.executor.spawn(probe).detach();
                 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhoist_fleet::endpoint::Heartbeat;
 use dotterelhoist_fleet::order::{Order, Outcome};
+use dotterelhoist_fleet::probe;
 use dotterelhoist_fleet::Name;
 use smol::net::TcpStream;
 
@@ -51,25 +51,28 @@
     }
 }
 
-/// Asks an endpoint for a report of its state. Returns the state (none without a valid report) and
-/// whether the endpoint is certainly not at this address: the address is invalid, the connection
-/// was refused, or another endpoint answered (status 421).
+/// Asks an endpoint for a report of its state. It is not at this address if the address is invalid,
+/// the connection is refused, or another endpoint responds (status 421).
 pub(crate) async fn probe<Platform>(
     protocol: &Platform,
     id: &Name,
     address: &Name,
-) -> (Option<Box<Heartbeat>>, bool)
+) -> probe::Outcome
 where
     Platform: Protocol,
 {
     let request = send_request::<Platform>(address, "GET", Platform::REPORT_PATH, Some(id), b"");
     match within(PROBE_TIMEOUT, request).await {
         Some(Ok(response)) if response.status == 200 => {
-            (protocol.decode_report(id, &response.body).ok().map(Box::new), false)
+            match protocol.decode_report(id, &response.body) {
+                Ok(heartbeat) => probe::Outcome::Report(Box::new(heartbeat)),
+                Err(_) => probe::Outcome::Answered,
+            }
         }
-        Some(Ok(response)) => (None, response.status == 421),
-        Some(Err(Failure::Unreachable)) => (None, true),
-        Some(Err(Failure::NoResponse)) | None => (None, false),
+        Some(Ok(response)) if response.status == 421 => probe::Outcome::Refused,
+        Some(Ok(_)) => probe::Outcome::Answered,
+        Some(Err(Failure::Unreachable)) => probe::Outcome::Refused,
+        Some(Err(Failure::NoResponse)) | None => probe::Outcome::Unanswered,
     }
 }
 
