A stream that breaks off waits for an endpoint that only pauses

Cause: a retry for which every other endpoint was ejected was refused at once, which cuts a response that has begun, although the ejection may be a mere suspicion that ends with the next part. Change: such a retry waits in the queue if an endpoint may take it within the longest queue timeout; one whose caller has nothing yet is refused at once as before.

--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -133,22 +133,34 @@
     }
 
     /// Sends a request to an endpoint with a free slot, or else enqueues it. A new request goes
-    /// behind those that are queued for the same endpoints; a retry is sent ahead of them.
+    /// behind those that are queued for the same endpoints; a retry is sent ahead of them. A retry
+    /// for which there is no endpoint is refused, unless that would cut a response and one may be
+    /// there soon.
     fn send_or_enqueue(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) {
         let random = self.next_random();
         let Some(active) = self.requests.get(&id) else { return };
         let requirement = active.requirement.clone();
         let is_retry = active.attempts > 0;
         let choice = self.targets.choose(&requirement, &active.tried, now, random);
+        let may_wait = active.response_begun && self.admits_soon(active, now);
         match choice {
             Choice::Endpoint(target) if is_retry || self.queue.is_empty(&requirement) => {
                 self.send(now, id, target, effects);
             }
-            Choice::None if is_retry => self.refuse_active(now, id, Reason::Declined, effects),
+            Choice::None if is_retry && !may_wait => {
+                self.refuse_active(now, id, Reason::Declined, effects);
+            }
             _ => self.enqueue(now, id, effects),
         }
     }
 
+    /// Whether an endpoint that was not tried for a request may take it within the longest queue
+    /// timeout.
+    fn admits_soon(&self, active: &Active, now: Instant) -> bool {
+        let admission = self.targets.admission(&active.requirement, &active.tried, now);
+        admission.is_some_and(|at| at <= now + QUEUE_TIMEOUT_MAX)
+    }
+
     /// Puts a request into the queue, or refuses it if it is new and the queue is full. A retry
     /// gets the highest priority.
     fn enqueue(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) {
--- a/crates/fleet/tests/entry/stalls.rs
+++ b/crates/fleet/tests/entry/stalls.rs
@@ -344,3 +344,21 @@
     assert!(harness.hedges.is_empty());
     assert!((1..=4).all(|id| harness.decisions[&id].len() == 1), "{:?}", harness.decisions);
 }
+
+#[test]
+fn stream_that_breaks_off_waits_for_an_endpoint_that_only_pauses() {
+    let mut harness = Harness::open(TWO_GROUPS);
+    for id in 1..=2 {
+        harness.send(id, "/stream/x");
+        begin(&mut harness, id);
+    }
+    let (first, other) = (harness.attempt(1).target, harness.attempt(2).target);
+    assert_ne!(first, other);
+    advance_with_progress(&mut harness, 600, &[&*first]);
+    harness.apply(Event::AttemptEnded(1, LOST));
+    assert!(!is_refused(&harness, 1), "{:?}", harness.last_decision(1));
+    harness.advance(300);
+    harness.state.record_progress(&other, harness.now);
+    harness.advance(25);
+    assert_eq!(harness.attempt(1).target, other);
+}
