Test: the stream that another engine continues waits until two groups serve

Change: the stand-in stages, and the test waits until two engines have sent events; its check is the same.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -275,6 +275,11 @@
 #[test]
 fn stream_whose_engine_falls_silent_for_good_is_continued_by_another() {
     let deployment = Deployment::start();
+    let two_serve = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        deployment.stream(&deployment.unique_label(), None);
+        (deployment.silence.sender_count() > 1).then_some(())
+    });
+    assert!(two_serve.is_some(), "only one group serves");
     deployment.silence.abandon("s0");
     let kind = Kind::Stream { events: LONG_STREAM_EVENTS };
     let exchange = deployment.request_in_background("s0", kind).join();
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -1,7 +1,7 @@
 //! A stand-in for an engine or plain service of the platform: it sends heartbeats, carries out
 //! orders, answers report requests and runs callers' requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -42,6 +42,8 @@
     /// Streams that the first engine to run them never completes, and that engine once it is known,
     /// by request id.
     abandoned: HashMap<String, Option<String>>,
+    /// Engines that have sent an event.
+    senders: HashSet<String>,
 }
 
 impl Silence {
@@ -92,8 +94,15 @@
         first.get_or_insert_with(|| engine.to_owned()) == engine
     }
 
-    fn record_sent(&self, id: &str, event: u64) {
-        self.lock().sent.insert(id.to_owned(), event);
+    /// Number of engines that have sent an event.
+    pub fn sender_count(&self) -> usize {
+        self.lock().senders.len()
+    }
+
+    fn record_sent(&self, engine: &str, id: &str, event: u64) {
+        let mut state = self.lock();
+        state.sent.insert(id.to_owned(), event);
+        state.senders.insert(engine.to_owned());
     }
 }
 
@@ -267,7 +276,7 @@
             let text = format!("id: {event}\ndata: piece\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             connection.write(chunk.as_bytes()).await.ok()?;
-            self.silence.record_sent(&id, event);
+            self.silence.record_sent(&self.id, &id, event);
         }
         connection.write(b"0\r\n\r\n").await.ok()
     }
@@ -321,7 +330,10 @@
             inner.group = None;
             200
         }
-        "stage" => 200,
+        "stage" => {
+            inner.staged = vec![order["model"].as_str().unwrap_or_default().to_owned()];
+            200
+        }
         _ => 409,
     }
 }
