--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -1,10 +1,10 @@
 //! Second attempts for requests whose endpoint makes no progress.
 //!
 //! An endpoint that is silent may have failed, or may only pause. While that is not known, it is
-//! sent no new requests, but what runs there is not given up: a second attempt runs beside the
-//! first, and whichever endpoint sends the next part of the response goes on. The caller loses
-//! nothing if the second attempt fails. It is started only where an endpoint has a free slot and the
-//! retry budget a token, both of which it takes.
+//! sent no new requests for a time, but what runs there is not given up: a second attempt runs
+//! beside the first, and whichever endpoint sends the next part of the response goes on. The caller
+//! loses nothing if the second attempt fails. It is started only where an endpoint has a free slot
+//! and the retry budget a token, both of which it takes.
 
 use std::time::Duration;
 
@@ -78,23 +78,17 @@
     pub(super) fn adopt_hedge(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(second) = active.hedge.take() else { return };
+        let Some(first) = active.endpoint.replace(second.clone()) else { return };
         let begun = std::mem::take(&mut active.begun);
         active.may_have_run = true;
-        let tokens = active.request.prompt_tokens;
-        let fingerprint = active.request.fingerprint;
-        let Some(first) = active.endpoint.replace(second.clone()) else { return };
-        self.targets.record_end(&first, begun, tokens);
+        let request = &active.request;
+        self.targets.record_end(&first, begun, request.prompt_tokens);
         self.targets.record_takeover(&first, now);
-        self.losses.record_silence(fingerprint, first.clone(), now);
         let detail = format!("from={first} to={second} continued={begun}");
-        let request_id = self.requests.get(&id).map(|active| active.request.request_id.clone());
-        let event = journal::Event::new(
-            124,
-            "second attempt took over",
-            &*request_id.unwrap_or_else(|| "".into()),
-            detail,
-        );
+        let event =
+            journal::Event::new(124, "second attempt took over", &*request.request_id, detail);
         effects.push(Effect::Log(event));
+        self.losses.record_silence(request.fingerprint, first, now);
         self.send_queued(now, effects);
     }
 
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -327,10 +327,10 @@
         self.log_failed_attempt(id, target, end, effects);
     }
 
-    /// Logs the end of an attempt unless it succeeded.
+    /// Logs the end of an attempt unless it succeeded or was dropped.
     fn log_failed_attempt(&self, id: u64, target: &Name, end: &End, effects: &mut Vec<Effect>) {
         let Some(active) = self.requests.get(&id) else { return };
-        if *end == End::Answered {
+        if matches!(end, End::Answered | End::Dropped) {
             return;
         }
         let detail = format!(
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -212,6 +212,9 @@
 {
     /// Passes an event to the reducer and carries out the effects.
     pub(crate) fn apply(&self, event: Event) {
+        if let Event::AttemptEnded(_, end) | Event::HedgeEnded(_, end) = &event {
+            self.meter.count(&format!("attempt.{}", end_label(end)));
+        }
         let mut effects = Vec::new();
         self.state.borrow_mut().apply(clock::now(), event, &mut effects);
         for effect in effects {
@@ -484,9 +487,6 @@
                     self.meter.count(if attempt.number > 1 { "sent.again" } else { "sent.first" });
                     let end = response.run_attempt(self, incoming, attempt, &hedge_receiver).await;
                     let answered = end == End::Answered;
-                    if !answered {
-                        self.meter.count(&format!("attempt.{}", end_label(&end)));
-                    }
                     self.apply(Event::AttemptEnded(incoming.id, end));
                     if answered {
                         return;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,6 +1,7 @@
 //! The response to a caller's request: forwards the responses of endpoints, in one or more attempts.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,19 @@
     fn has_advanced(&self) -> bool {
         self.hedge_base.get().is_some_and(|base| base != self.writes.get())
     }
+
+    /// Waits for the second attempt after the current one has ended. It is dropped if the caller has
+    /// been sent more since it began.
+    async fn wait_for<Second>(&self, second: Second) -> Result<Successor, End>
+    where
+        Second: Future<Output = Hedge>,
+    {
+        let advanced = self.has_advanced();
+        let hedge = if advanced { None } else { Some(second.await) };
+        self.hedge_base.set(None);
+        let Hedge { attempt, reply } = hedge.ok_or(End::Dropped)?;
+        Ok(Successor { attempt, reply: reply? })
+    }
 }
 
 /// A second attempt whose response has arrived or which has failed.
@@ -122,10 +136,10 @@
     {
         let id = incoming.id;
         let progress = self.progress.clone();
-        progress.hedge_base.set(None);
         let mut second = pin!(run_hedge(shell, incoming, &progress, hedges));
         let mut reply = None;
         loop {
+            // `first` goes on while second attempts fail, until it ends or one takes over.
             let successor = {
                 let mut first = pin!(self.exchange(shell, incoming, &attempt, reply.take()));
                 loop {
@@ -154,14 +168,10 @@
                 Err(end) if progress.hedge_base.get().is_none() && hedges.is_empty() => return end,
                 Err(end) => {
                     shell.apply(Event::AttemptEnded(id, end));
-                    if progress.has_advanced() {
-                        return End::Dropped;
-                    }
-                    let hedge = second.as_mut().await;
-                    progress.hedge_base.set(None);
+                    let result = progress.wait_for(second.as_mut()).await;
                     second.set(run_hedge(shell, incoming, &progress, hedges));
-                    match hedge.reply {
-                        Ok(reply) => Successor { attempt: hedge.attempt, reply },
+                    match result {
+                        Ok(successor) => successor,
                         Err(end) => return end,
                     }
                 }
