--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,6 +1,7 @@
 //! Requests from caller to endpoint with `dotterelhoistd platform`: real daemon processes and
 //! stand-ins for the platform's endpoints.
 
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -102,17 +103,24 @@
     assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
 }
 
-/// New connections arrive until the port of an entry daemon that was told to stop refuses them: each
-/// request on a connection that was established must be answered or refused.
-#[test]
-fn entry_daemon_stop_answers_or_refuses_each_request_on_an_established_connection() {
-    let mut deployment = Deployment::start();
+/// Sends a stream that lasts longer than a stopping entry daemon accepts requests, and waits until
+/// it has begun.
+fn begin_stream_beyond_stop(deployment: &Deployment) -> JoinHandle<Exchange> {
     let kind = Kind::Stream { events: STREAM_EVENTS_BEYOND_STOP };
     let running = deployment.request_in_background("slow-0", kind);
     let begun = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
         deployment.silence.sent().contains_key("slow-0").then_some(())
     });
     assert!(begun.is_some(), "the stream has not begun in time");
+    running
+}
+
+/// New connections arrive until the port of an entry daemon that was told to stop refuses them: each
+/// request on a connection that was established must be answered or refused.
+#[test]
+fn entry_daemon_stop_answers_or_refuses_each_request_on_an_established_connection() {
+    let mut deployment = Deployment::start();
+    let running = begin_stream_beyond_stop(&deployment);
     let callers = [("a", Duration::ZERO), ("b", CALLER_DELAY), ("c", CALLER_DELAY)]
         .map(|(label, delay)| deployment.book_until_refused(label, delay));
     deployment.terminate_entry();
@@ -136,12 +144,7 @@
 #[test]
 fn entry_daemon_stop_refuses_the_request_that_follows_an_answer_in_flight() {
     let mut deployment = Deployment::start();
-    let kind = Kind::Stream { events: STREAM_EVENTS_BEYOND_STOP };
-    let running = deployment.request_in_background("slow-0", kind);
-    let begun = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
-        deployment.silence.sent().contains_key("slow-0").then_some(())
-    });
-    assert!(begun.is_some(), "the stream has not begun in time");
+    let running = begin_stream_beyond_stop(&deployment);
     deployment.terminate_entry();
     assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
     let exchange = running.join().expect("the caller's thread does not panic");
