--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -16,16 +16,22 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
-/// Headers that one head may have; a request with more is refused as too long, a response with more
-/// is malformed.
-const MAX_HEADERS: usize = 100;
+use self::body::Step;
+use self::head::{parse_request_head, parse_response_head};
+
+pub use self::body::BodyReader;
+pub use self::head::{is_hop_by_hop, Framing, Header, Headers, RequestHead, ResponseHead};
+
+pub(crate) use self::body::push_chunk;
+pub(crate) use self::head::push_header;
+
+mod body;
+mod head;
+
 /// Size of the buffer for one read from a socket.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 /// Delay before the next attempt to accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(25);
-/// Bytes to buffer while waiting for the end of a chunk-size or trailer line of a chunked body. If
-/// more have arrived without a line end, the body is malformed.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
 
 /// Why a message can't be received.
 #[derive(Debug, Display)]
@@ -44,97 +50,6 @@
 
 impl std::error::Error for Error {}
 
-/// One header.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Header {
-    /// Name in the spelling of the sender.
-    pub name: Box<str>,
-    /// Value as sent; need not be UTF-8.
-    pub value: Bytes,
-}
-
-/// Headers in the order in which they were sent.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Headers(pub Vec<Header>);
-
-impl Headers {
-    /// First value of the header `name`; none if the header is absent or the value is not UTF-8.
-    pub fn find(&self, name: &str) -> Option<&str> {
-        let header = self.0.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(&header.value).ok().map(str::trim)
-    }
-
-    /// Whether the comma-separated values of the header `name` contain `element`, ignoring case.
-    pub fn list_contains(&self, name: &str, element: &str) -> bool {
-        let named = self.0.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
-        named
-            .filter_map(|header| std::str::from_utf8(&header.value).ok())
-            .flat_map(|value| value.split(','))
-            .any(|item| item.trim().eq_ignore_ascii_case(element))
-    }
-
-    /// All headers called `name`.
-    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Header> {
-        self.0.iter().filter(move |header| header.name.eq_ignore_ascii_case(name))
-    }
-}
-
-/// Whether a header is hop-by-hop or describes the framing, so that a proxy must not forward it.
-pub fn is_hop_by_hop(name: &str) -> bool {
-    const NAMES: [&str; 10] = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    ];
-    NAMES.iter().any(|listed| name.eq_ignore_ascii_case(listed))
-}
-
-/// How a body is framed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// A body of this many bytes.
-    Length(u64),
-    /// Chunked transfer encoding.
-    Chunked,
-    /// The body ends where the sender closes the connection.
-    UntilClose,
-}
-
-/// Head of a request.
-#[derive(Clone, Debug)]
-pub struct RequestHead {
-    /// Method.
-    pub method: Box<str>,
-    /// Request target (path and query) exactly as sent.
-    pub target: Box<str>,
-    /// Headers.
-    pub headers: Headers,
-    /// How the body is framed.
-    pub framing: Framing,
-    /// Whether the sender allows the connection to stay open after the response.
-    pub keep_alive: bool,
-}
-
-/// Head of a response.
-#[derive(Clone, Debug)]
-pub struct ResponseHead {
-    /// Status code.
-    pub status: u16,
-    /// Headers.
-    pub headers: Headers,
-    /// How the body is framed.
-    pub framing: Framing,
-    /// Whether the connection stays open after the body.
-    pub keep_alive: bool,
-}
-
 /// A connection with a read buffer.
 #[derive(Debug)]
 pub struct Connection {
@@ -290,242 +205,6 @@
     }
 }
 
-/// Progress of reading a body.
-#[derive(Debug)]
-pub struct BodyReader {
-    framing: Framing,
-    /// Bytes still to come: of the body if its length is known, of the current chunk if it is
-    /// chunked.
-    remaining: u64,
-    /// Used for chunked bodies only.
-    chunk_state: ChunkState,
-}
-
-/// What comes next in a chunked body.
-#[derive(Debug, PartialEq, Eq)]
-enum ChunkState {
-    /// The line with the size of a chunk.
-    Size,
-    /// The data of a chunk.
-    Data,
-    /// The line end after the data of a chunk.
-    DataEnd,
-    /// A trailer field, or the empty line that ends the body.
-    Trailer,
-    /// Nothing: the body is complete.
-    End,
-}
-
-/// Result of reading a body from the buffer.
-enum Step {
-    /// Bytes of the body.
-    Part(Bytes),
-    /// The body is complete.
-    End,
-    /// More bytes have to be read from the socket first.
-    NeedsBytes,
-}
-
-impl BodyReader {
-    /// Prepares to read a body with this framing.
-    pub fn new(framing: Framing) -> BodyReader {
-        let remaining = match framing {
-            Framing::Length(length) => length,
-            _ => 0,
-        };
-        BodyReader { framing, remaining, chunk_state: ChunkState::Size }
-    }
-
-    /// Removes the next bytes of the body from the buffer.
-    fn next_step(&mut self, buffer: &mut BytesMut) -> Result<Step, Error> {
-        match self.framing {
-            Framing::Length(_) if self.remaining == 0 => Ok(Step::End),
-            Framing::Length(_) => Ok(self.take(buffer)),
-            Framing::UntilClose if buffer.is_empty() => Ok(Step::NeedsBytes),
-            Framing::UntilClose => Ok(Step::Part(buffer.split().freeze())),
-            Framing::Chunked => self.next_chunked(buffer),
-        }
-    }
-
-    /// Removes the bytes of the body, or of the current chunk, that are in the buffer.
-    fn take(&mut self, buffer: &mut BytesMut) -> Step {
-        if buffer.is_empty() {
-            return Step::NeedsBytes;
-        }
-        let count = self.remaining.min(buffer.len() as u64);
-        self.remaining -= count;
-        Step::Part(buffer.split_to(count as usize).freeze())
-    }
-
-    /// Like [`Self::next_step`] for a chunked body; skips chunk extensions and trailer fields.
-    fn next_chunked(&mut self, buffer: &mut BytesMut) -> Result<Step, Error> {
-        loop {
-            match self.chunk_state {
-                ChunkState::Size => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedsBytes) };
-                    self.remaining = parse_chunk_size(&line)?;
-                    self.chunk_state =
-                        if self.remaining == 0 { ChunkState::Trailer } else { ChunkState::Data };
-                }
-                ChunkState::Data if self.remaining > 0 => return Ok(self.take(buffer)),
-                ChunkState::Data => self.chunk_state = ChunkState::DataEnd,
-                ChunkState::DataEnd => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedsBytes) };
-                    if !line.is_empty() {
-                        return Err(Error::Malformed("a chunk is longer than its stated size"));
-                    }
-                    self.chunk_state = ChunkState::Size;
-                }
-                ChunkState::Trailer => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedsBytes) };
-                    if line.is_empty() {
-                        self.chunk_state = ChunkState::End;
-                    }
-                }
-                ChunkState::End => return Ok(Step::End),
-            }
-        }
-    }
-}
-
-/// Removes a line from the buffer and returns it without its line end; none if it is incomplete.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, Error> {
-    let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
-        if buffer.len() > MAX_CHUNK_LINE_BYTES {
-            return Err(Error::Malformed("a chunk size or trailer line is too long"));
-        }
-        return Ok(None);
-    };
-    let mut line = buffer.split_to(end + 1);
-    line.truncate(end);
-    if line.last() == Some(&b'\r') {
-        line.truncate(end - 1);
-    }
-    Ok(Some(line))
-}
-
-/// Number of bytes that a chunk-size line states; chunk extensions are ignored.
-fn parse_chunk_size(line: &[u8]) -> Result<u64, Error> {
-    let text = std::str::from_utf8(line).unwrap_or_default();
-    let digits = text.split(';').next().unwrap_or_default().trim();
-    let digits_only = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
-    if !digits_only {
-        return Err(Error::Malformed("a chunk size is not a hexadecimal number"));
-    }
-    u64::from_str_radix(digits, 16)
-        .map_err(|_| Error::Malformed("a chunk size does not fit into 64 bits"))
-}
-
-fn copy_headers(parsed: &[httparse::Header<'_>]) -> Headers {
-    let copy = |header: &httparse::Header<'_>| Header {
-        name: header.name.into(),
-        value: Bytes::copy_from_slice(header.value),
-    };
-    Headers(parsed.iter().map(copy).collect())
-}
-
-/// Head of the request at the start of `buffer`, and its length in bytes; none if it is incomplete.
-fn parse_request_head(buffer: &[u8]) -> Result<Option<(RequestHead, usize)>, Error> {
-    let mut header_storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut header_storage);
-    let length = match request.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLong),
-        Err(_) => return Err(Error::Malformed("the head of the request can't be parsed")),
-    };
-    let headers = copy_headers(request.headers);
-    let http_1_0 = request.version == Some(0);
-    let keep_alive = match http_1_0 {
-        true => headers.list_contains("connection", "keep-alive"),
-        false => !headers.list_contains("connection", "close"),
-    };
-    let framing = parse_framing(&headers)?.unwrap_or(Framing::Length(0));
-    let head = RequestHead {
-        method: request.method.unwrap_or_default().into(),
-        target: request.path.unwrap_or_default().into(),
-        headers,
-        framing,
-        keep_alive,
-    };
-    Ok(Some((head, length)))
-}
-
-/// Head of the response at the start of `buffer`, and its length in bytes; none if it is
-/// incomplete. `method` is that of the request: the response to `HEAD` has no body, whatever its
-/// headers state.
-fn parse_response_head(
-    buffer: &[u8],
-    method: &str,
-) -> Result<Option<(ResponseHead, usize)>, Error> {
-    let mut header_storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut header_storage);
-    let length = match response.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(Error::Malformed("the head of the response can't be parsed")),
-    };
-    let headers = copy_headers(response.headers);
-    let status = response.code.unwrap_or_default();
-    let has_no_body = status < 200 || status == 204 || status == 304 || method == "HEAD";
-    let framing = match parse_framing(&headers)? {
-        _ if has_no_body => Framing::Length(0),
-        Some(framing) => framing,
-        None => Framing::UntilClose,
-    };
-    let http_1_0 = response.version == Some(0);
-    let close =
-        http_1_0 || headers.list_contains("connection", "close") || framing == Framing::UntilClose;
-    Ok(Some((ResponseHead { status, headers, framing, keep_alive: !close }, length)))
-}
-
-/// Framing that the headers state; none if there is neither `Content-Length` nor
-/// `Transfer-Encoding`.
-fn parse_framing(headers: &Headers) -> Result<Option<Framing>, Error> {
-    let mut lengths = headers.all("content-length");
-    let first = lengths.next();
-    if lengths.next().is_some() {
-        return Err(Error::Malformed("more than one Content-Length"));
-    }
-    let mut encodings = headers.all("transfer-encoding");
-    let encoding = encodings.next();
-    if encodings.next().is_some() {
-        return Err(Error::Malformed("more than one Transfer-Encoding"));
-    }
-    match (first, encoding) {
-        (Some(_), Some(_)) => Err(Error::Malformed("both Content-Length and Transfer-Encoding")),
-        (None, Some(encoding)) => {
-            if !encoding.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
-                return Err(Error::Malformed("a Transfer-Encoding other than chunked"));
-            }
-            Ok(Some(Framing::Chunked))
-        }
-        (Some(length), None) => {
-            let text = std::str::from_utf8(&length.value).unwrap_or_default().trim();
-            let digits_only = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
-            let length = text.parse().ok().filter(|_| digits_only);
-            let length = length.ok_or(Error::Malformed("a Content-Length that is not a number"))?;
-            Ok(Some(Framing::Length(length)))
-        }
-        (None, None) => Ok(None),
-    }
-}
-
-/// Appends a header line.
-pub(crate) fn push_header(bytes: &mut Vec<u8>, name: &str, value: &[u8]) {
-    bytes.extend_from_slice(name.as_bytes());
-    bytes.extend_from_slice(b": ");
-    bytes.extend_from_slice(value);
-    bytes.extend_from_slice(b"\r\n");
-}
-
-/// Appends a chunk in chunked transfer encoding.
-pub(crate) fn push_chunk(out: &mut Vec<u8>, bytes: &[u8]) {
-    out.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
-    out.extend_from_slice(bytes);
-    out.extend_from_slice(b"\r\n");
-}
-
 /// Accepts connections until the future is dropped and serves each in its own task.
 pub async fn accept_all<Serve, Work>(
     listener: TcpListener,
