Log why a response is lost and what ended a stream

Now a loss has one of eleven reasons, in line 121 and as a counter (lost.REASON); stream.ended.FRAMING counts what ended the body of a stream, and line 125 tells of one that ended inside an event. No decision changes.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -33,7 +33,7 @@
 mod slots;
 mod unsent;
 
-pub use self::request::{Attempt, Decision, End, Reason, Refusal, Request};
+pub use self::request::{Attempt, Decision, End, Loss, Reason, Refusal, Request};
 
 use self::budget::Budget;
 use self::fetching::Transfer;
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -99,7 +99,7 @@
         match end {
             End::Answered | End::TimedOut { .. } => return false,
             End::Unreachable | End::Withheld if active.hedge.is_some() => active.attempts -= 1,
-            End::Failed { .. } | End::Lost { .. } => active.may_have_run = true,
+            End::Failed { .. } | End::Lost(_) => active.may_have_run = true,
             End::Unreachable | End::Withheld | End::Declined { .. } | End::Dropped => {}
         }
         active.endpoint = active.hedge.take();
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -157,10 +157,7 @@
     },
     /// The response broke off or was invalid; another attempt can start or continue the response to
     /// the caller.
-    Lost {
-        /// Whether the connection broke, as happens when the endpoint terminates.
-        broken: bool,
-    },
+    Lost(Loss),
     /// A second attempt was dropped, because the current one made progress.
     Dropped,
     /// The deadline passed before the response was complete.
@@ -169,3 +166,31 @@
         begun: bool,
     },
 }
+
+/// Why the response of an endpoint can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Loss {
+    /// The connection was closed before the response began.
+    NoResponse,
+    /// The connection was reset or has failed otherwise.
+    Failed,
+    /// The connection was closed inside the head.
+    CutInHead,
+    /// The connection was closed before the end of the body that its framing states.
+    CutInBody,
+    /// The response is not valid HTTP.
+    Malformed,
+    /// The head is longer than the limit.
+    HeadTooLong,
+    /// The body is longer than the limit.
+    BodyTooLong,
+    /// The response names another request or none.
+    WrongRequest,
+    /// The response has no signature.
+    Unsigned,
+    /// The body has a content encoding.
+    Encoded,
+    /// The response to the caller has begun as a stream, and this one is none.
+    NotContinued,
+}
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -316,12 +316,12 @@
                 self.targets.record_success(target);
             }
             End::Unreachable => self.targets.record_failure(target, true, now),
-            End::Lost { .. } | End::Failed { .. } | End::Declined { .. } => {
+            End::Lost(_) | End::Failed { .. } | End::Declined { .. } => {
                 self.targets.record_failure(target, false, now);
             }
             End::TimedOut { .. } | End::Dropped | End::Withheld => {}
         }
-        if matches!(end, End::Lost { .. }) {
+        if matches!(end, End::Lost(_)) {
             self.losses.record(active.request.fingerprint, target.clone(), now);
         }
         self.log_failed_attempt(id, target, end, effects);
@@ -360,11 +360,11 @@
                 self.retry_or_forward(now, id, effects);
             }
             End::Failed { .. } => self.forward_failure(id, effects),
-            End::Lost { .. } | End::Dropped if retryable => {
+            End::Lost(_) | End::Dropped if retryable => {
                 active.may_have_run = true;
                 self.retry(now, id, Reason::Lost, true, effects);
             }
-            End::Lost { .. } | End::Dropped => {
+            End::Lost(_) | End::Dropped => {
                 active.may_have_run = true;
                 self.refuse_active(now, id, Reason::Lost, effects);
             }
--- a/crates/fleet/tests/entry/interleaving.rs
+++ b/crates/fleet/tests/entry/interleaving.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use dotterelhoist_fleet::entry::{Attempt, Decision, End, Event};
+use dotterelhoist_fleet::entry::{Attempt, Decision, End, Event, Loss};
 use proptest::prelude::{any, prop_assert, prop_assert_eq, proptest, ProptestConfig};
 use proptest::test_runner::TestCaseError;
 
@@ -269,7 +269,7 @@
         steps in proptest::collection::vec((0u8..16, any::<u64>()), 1..150),
     ) {
         let ends = [
-            End::Lost { broken: true },
+            End::Lost(Loss::Failed),
             End::Declined { status: 503 },
             End::Failed { status: 500 },
         ];
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -11,7 +11,7 @@
     Document, Draft, Engine, Finding, Kind, Model, Route, Service, Share, Workspace,
 };
 use dotterelhoist_fleet::entry::{
-    Attempt, Decision, Effect, End, Event, Reason, Refusal, Request, Setup, State,
+    Attempt, Decision, Effect, End, Event, Loss, Reason, Refusal, Request, Setup, State,
 };
 use dotterelhoist_fleet::message::{Body, Fetch, Report, Status, Target, View};
 use dotterelhoist_fleet::patch::{Original, Patch};
@@ -313,7 +313,7 @@
 
 const TWO_GROUPS: &[(&str, &str, &str, u32)] = &[("e1", "llm", "a", 4), ("e2", "llm", "a", 4)];
 const TWO_PLAIN: &[(&str, &str, &str, u32)] = &[("p1", "desk", "a", 6), ("p2", "desk", "b", 6)];
-const LOST: End = End::Lost { broken: true };
+const LOST: End = End::Lost(Loss::Failed);
 
 #[test]
 fn request_before_any_document_is_refused_with_a_retry_time() {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -23,7 +23,8 @@
 use crate::clock;
 use crate::exchange::Incoming;
 use crate::http::{
-    accept_all, accept_waiting, within, Connection, Error, Headers, RequestHead, ResponseHead,
+    accept_all, accept_waiting, within, Connection, Error, Framing, Headers, RequestHead,
+    ResponseHead,
 };
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
@@ -214,6 +215,9 @@
     pub(crate) fn apply(&self, event: Event) {
         if let Event::AttemptEnded(_, end) | Event::HedgeEnded(_, end) = &event {
             self.meter.count(&format!("attempt.{}", end_label(end)));
+            if let End::Lost(loss) = end {
+                self.meter.count(&format!("lost.{loss}"));
+            }
         }
         let mut effects = Vec::new();
         self.state.borrow_mut().apply(clock::now(), event, &mut effects);
@@ -321,6 +325,24 @@
         self.state.borrow_mut().record_progress(target, clock::now());
     }
 
+    /// Records that a stream of the endpoint `target` has ended, framed like this, with so many bytes
+    /// of an event that has not ended.
+    pub(crate) fn record_stream_end(
+        &self,
+        request_id: &Name,
+        target: &Name,
+        framing: Framing,
+        unfinished_bytes: usize,
+    ) {
+        self.meter.count(&format!("stream.ended.{framing}"));
+        if unfinished_bytes == 0 {
+            return;
+        }
+        let detail =
+            format!("endpoint={target} framing={framing} unfinished_bytes={unfinished_bytes}");
+        journal::write(&log_events::Event::new(125, "stream cut", &**request_id, detail));
+    }
+
     /// Records that the response to the caller of this request has begun.
     pub(crate) fn record_response_start(&self, id: u64) {
         self.state.borrow_mut().record_response_start(id);
@@ -412,7 +434,7 @@
         let reason = match error {
             Error::HeadTooLong => Reason::HeadTooLong,
             Error::BodyTooLong => Reason::BodyTooLong,
-            Error::Malformed(_) => Reason::Malformed,
+            Error::Malformed(_) | Error::CutInHead | Error::CutInBody => Reason::Malformed,
             Error::Closed | Error::Broken(_) => return,
         };
         self.meter.count(&format!("refused.{reason}"));
@@ -561,7 +583,7 @@
         End::Unreachable => "unreachable",
         End::Withheld => "withheld",
         End::Declined { .. } => "declined",
-        End::Lost { .. } => "lost",
+        End::Lost(_) => "lost",
         End::TimedOut { .. } => "timed_out",
         End::Dropped => "dropped",
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -42,6 +42,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Number of bytes after the last event that [`Self::next`] has returned.
+    pub(crate) fn unfinished_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the bytes after the last event that [`Self::next`] has returned. They
     /// are forwarded unchanged if the stream ends without an error.
     pub(crate) fn take_rest(&mut self) -> Bytes {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,14 +3,14 @@
 
 use bytes::Bytes;
 use dotterelhoist_fleet::document::Kind;
-use dotterelhoist_fleet::entry::{Attempt, End};
+use dotterelhoist_fleet::entry::{Attempt, End, Loss};
 use dotterelhoist_fleet::Name;
 
 use crate::clock;
 use crate::entry::Shell;
 use crate::events::{Event, Splitter};
 use crate::http::{
-    is_hop_by_hop, push_header, BodyReader, Connection, Framing, RequestHead, ResponseHead,
+    is_hop_by_hop, push_header, BodyReader, Connection, Error, Framing, RequestHead, ResponseHead,
 };
 use crate::protocol::Protocol;
 
@@ -79,6 +79,7 @@
     pub(crate) async fn fill<Platform>(
         &mut self,
         shell: &Shell<Platform>,
+        request_id: &Name,
         target: &Name,
     ) -> Result<(), End>
     where
@@ -86,28 +87,34 @@
     {
         while self.events.is_empty() && !self.ended {
             let part = self.connection.read_part(&mut self.body).await;
-            let part = part.map_err(|_| End::Lost { broken: true })?;
-            match part {
+            match part.map_err(loss_of)? {
                 Some(part) => {
                     shell.record_progress(target);
                     self.splitter.push(&part);
                 }
                 None => self.ended = true,
             }
-            self.split_events();
+            self.split_events(shell, request_id, target);
         }
         Ok(())
     }
 
     /// Moves the complete events to `events`; at the end of the stream also what follows them, as an
     /// event without an id.
-    fn split_events(&mut self) {
+    fn split_events<Platform>(&mut self, shell: &Shell<Platform>, request_id: &Name, target: &Name)
+    where
+        Platform: Protocol,
+    {
         while let Some(event) = self.splitter.next() {
             if !event.is_known(self.last_event_id) {
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.events.push(event);
             }
         }
+        if self.ended {
+            let unfinished_bytes = self.splitter.unfinished_bytes();
+            shell.record_stream_end(request_id, target, self.head.framing, unfinished_bytes);
+        }
         let rest = if self.ended { self.splitter.take_rest() } else { Bytes::new() };
         if !rest.is_empty() {
             self.events.push(Event { bytes: rest, id: None });
@@ -146,15 +153,15 @@
         return Err(End::Withheld);
     }
     let bytes = encode_request::<Platform>(incoming, attempt, last_event_id);
-    connection.write(&bytes).await.map_err(|_| End::Lost { broken: true })?;
+    connection.write(&bytes).await.map_err(|_| End::Lost(Loss::Failed))?;
     let head = connection.read_response_head(&incoming.head.method, MAX_HEAD_BYTES).await;
-    let head = head.map_err(|_| End::Lost { broken: true })?;
+    let head = head.map_err(loss_of)?;
     shell.record_response_head(&attempt.target, &head);
     let headers = &head.headers;
     let echoed = headers.find(Platform::HEADERS.request_id);
     let declined = headers.find(Platform::HEADERS.declined).is_some() || head.status == 421;
     if echoed.is_some_and(|echoed| echoed != &*incoming.request_id) {
-        return Err(End::Lost { broken: false });
+        return Err(End::Lost(Loss::WrongRequest));
     }
     if declined {
         let status = head.status;
@@ -163,10 +170,14 @@
         }
         return Err(End::Declined { status });
     }
-    let has_required_headers =
-        headers.find(Platform::HEADERS.signature).is_some() && echoed.is_some();
-    if !has_required_headers || headers.find("content-encoding").is_some() {
-        return Err(End::Lost { broken: false });
+    if echoed.is_none() {
+        return Err(End::Lost(Loss::WrongRequest));
+    }
+    if headers.find(Platform::HEADERS.signature).is_none() {
+        return Err(End::Lost(Loss::Unsigned));
+    }
+    if headers.find("content-encoding").is_some() {
+        return Err(End::Lost(Loss::Encoded));
     }
     let success = (200..300).contains(&head.status);
     let is_event_stream = headers.find("content-type").is_some_and(|kind| {
@@ -182,16 +193,29 @@
             connection,
             splitter: Splitter::default(),
         });
-        stream.fill(shell, &attempt.target).await?;
+        stream.fill(shell, &incoming.request_id, &attempt.target).await?;
         return Ok(Reply::Stream(stream));
     }
     let body = connection.read_body(head.framing, MAX_BODY_BYTES).await;
-    let body = body.map_err(|_| End::Lost { broken: true })?;
+    let body = body.map_err(loss_of)?;
     return_connection(shell, attempt, connection, &head);
     let message = Message { head, body };
     Ok(if success { Reply::Complete(message) } else { Reply::Error(message) })
 }
 
+/// How an attempt has ended whose response could not be read.
+fn loss_of(error: Error) -> End {
+    End::Lost(match error {
+        Error::Closed => Loss::NoResponse,
+        Error::Broken(_) => Loss::Failed,
+        Error::CutInHead => Loss::CutInHead,
+        Error::CutInBody => Loss::CutInBody,
+        Error::Malformed(_) => Loss::Malformed,
+        Error::HeadTooLong => Loss::HeadTooLong,
+        Error::BodyTooLong => Loss::BodyTooLong,
+    })
+}
+
 /// Encodes the request to the endpoint: hop-by-hop headers and the caller's key are removed,
 /// and the headers for the endpoint are set. With `last_event_id`, the stream is resumed after it.
 fn encode_request<Platform>(
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -40,6 +40,10 @@
     Closed,
     /// the connection failed: {0}
     Broken(io::Error),
+    /// the connection closed within a head
+    CutInHead,
+    /// the connection closed within a body
+    CutInBody,
     /// malformed HTTP message: {0}
     Malformed(&'static str),
     /// the head exceeds its size limit or has too many headers
@@ -143,7 +147,7 @@
         let nothing_received = self.buffer.is_empty();
         match self.fill().await {
             Ok(0) if nothing_received => Err(Error::Closed),
-            Ok(0) => Err(Error::Malformed("the connection closed within a head")),
+            Ok(0) => Err(Error::CutInHead),
             Ok(_) => Ok(()),
             Err(error) if nothing_received && error.kind() == io::ErrorKind::ConnectionReset => {
                 Err(Error::Closed)
@@ -186,7 +190,7 @@
             }
             match self.fill().await {
                 Ok(0) if body.framing == Framing::UntilClose => return Ok(None),
-                Ok(0) => return Err(Error::Malformed("the connection closed within a body")),
+                Ok(0) => return Err(Error::CutInBody),
                 Ok(_) => {}
                 Err(error) => return Err(Error::Broken(error)),
             }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -61,7 +61,8 @@
 }
 
 /// How a body is framed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Framing {
     /// A body of this many bytes.
     Length(u64),
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
-use dotterelhoist_fleet::entry::{Attempt, End, Event, Refusal};
+use dotterelhoist_fleet::entry::{Attempt, End, Event, Loss, Refusal};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use smol::channel::Receiver;
 use smol::net::TcpStream;
@@ -206,7 +206,7 @@
         match reply {
             Reply::Stream(stream) => self.forward_events(shell, incoming, attempt, *stream).await,
             // Only an event stream can continue a response that has begun.
-            _ if self.has_begun() => End::Lost { broken: false },
+            _ if self.has_begun() => End::Lost(Loss::NotContinued),
             Reply::Complete(message) => {
                 shell.record_write(incoming.id, true);
                 self.send_complete(&message).await;
@@ -244,7 +244,7 @@
                 stream.release(shell, attempt);
                 return End::Answered;
             }
-            if let Err(end) = stream.fill(shell, &attempt.target).await {
+            if let Err(end) = stream.fill(shell, &incoming.request_id, &attempt.target).await {
                 return end;
             }
         }
@@ -340,7 +340,7 @@
         match self.reply? {
             Reply::Error(message) => Err(End::Failed { status: message.head.status }),
             _ if progress.has_advanced() || progress.writing.get() => Err(End::Dropped),
-            Reply::Complete(_) if progress.begun.get() => Err(End::Lost { broken: false }),
+            Reply::Complete(_) if progress.begun.get() => Err(End::Lost(Loss::NotContinued)),
             reply => Ok(Successor { attempt: self.attempt, reply }),
         }
     }
