--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,8 +6,11 @@
 
 use rstest::rstest;
 
-use self::deployment::{Call, Caller, Deployment, Exchange, Kind, Reply};
+use self::cuts::{Cut, Framing};
+use self::deployment::{BodyEnd, Call, Caller, Deployment, Exchange, Kind, Received, Reply};
 
+#[path = "platform/cuts.rs"]
+mod cuts;
 #[path = "platform/deployment.rs"]
 mod deployment;
 #[path = "platform/engine.rs"]
@@ -278,11 +281,7 @@
 #[test]
 fn stream_whose_engine_falls_silent_for_good_is_continued_by_another() {
     let deployment = Deployment::start();
-    let two_serve = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
-        deployment.stream(&deployment.unique_label(), None);
-        (deployment.silence.sender_count() > 1).then_some(())
-    });
-    assert!(two_serve.is_some(), "only one group serves");
+    deployment.wait_for_two_groups();
     deployment.silence.abandon("s0");
     let kind = Kind::Stream { events: LONG_STREAM_EVENTS };
     let exchange = deployment.request_in_background("s0", kind).join();
@@ -363,3 +362,72 @@
     assert!(served.is_some(), "the endpoint gets no request after its pause");
     assert_eq!(deployment.turned_away(), 1);
 }
+
+/// Text of the events with these numbers.
+fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
+    numbers.map(engine::event).collect()
+}
+
+/// The first engine sends a part of an event and ends the body: another one must continue the stream.
+#[rstest]
+#[case::connection_in_a_line(Framing::Connection, 2, "id: 3\ndata: pi")]
+#[case::connection_before_the_empty_line(Framing::Connection, 2, "id: 3\ndata: piece\n")]
+#[case::connection_in_the_first_event(Framing::Connection, 0, "id: 1\nda")]
+#[case::chunks(Framing::Chunks, 2, "id: 3\ndata: pi")]
+#[case::length(Framing::Length, 2, "id: 3\ndata: pi")]
+fn stream_that_its_engine_ends_inside_an_event_is_continued_by_another(
+    #[case] framing: Framing,
+    #[case] last_event: u64,
+    #[case] rest: &'static str,
+) {
+    let deployment = Deployment::start();
+    deployment.wait_for_two_groups();
+    deployment.cuts.plan("s0", [Cut { framing, last_event, rest }]);
+    let received = deployment.receive("s0").expect("a response");
+    assert_eq!((received.status, received.body), (200, events(1..=5)));
+    assert_ne!(received.end, BodyEnd::Cut);
+    assert_eq!(deployment.run_count("s0"), 2);
+}
+
+/// All attempts that the route allows end inside an event: the caller must see that the stream is cut.
+#[rstest]
+#[case::connections(Framing::Connection, Framing::Connection)]
+#[case::connection_after_chunks(Framing::Chunks, Framing::Connection)]
+#[case::chunks_after_connection(Framing::Connection, Framing::Chunks)]
+#[case::lengths(Framing::Length, Framing::Length)]
+fn stream_that_all_engines_end_inside_an_event_does_not_look_complete(
+    #[case] first: Framing,
+    #[case] second: Framing,
+) {
+    let deployment = Deployment::start();
+    deployment.wait_for_two_groups();
+    let cuts = [(first, 2), (second, 3)];
+    let cuts = cuts.map(|(framing, last_event)| Cut { framing, last_event, rest: "id: 9\nda" });
+    deployment.cuts.plan("s0", cuts);
+    let received = deployment.receive("s0").expect("a response");
+    assert_eq!(received, Received { status: 200, body: events(1..=3), end: BodyEnd::Cut });
+}
+
+/// All engines end the stream inside its first event: there is no answer, so none may begin.
+#[test]
+fn stream_that_all_engines_end_inside_its_first_event_is_refused() {
+    let deployment = Deployment::start();
+    deployment.wait_for_two_groups();
+    let cut = Cut { framing: Framing::Connection, last_event: 0, rest: "id: 1\nda" };
+    deployment.cuts.plan("s0", [cut; 2]);
+    let received = deployment.receive("s0").expect("a response");
+    assert_eq!((received.status, received.end), (502, BodyEnd::Framed), "{}", received.body);
+}
+
+#[rstest]
+#[case::connection(Framing::Connection)]
+#[case::chunks(Framing::Chunks)]
+#[case::length(Framing::Length)]
+fn stream_that_ends_after_its_last_event_is_whole(#[case] framing: Framing) {
+    let deployment = Deployment::start();
+    deployment.cuts.plan("s0", [Cut { framing, last_event: 5, rest: "" }]);
+    let received = deployment.receive("s0").expect("a response");
+    assert_eq!((received.status, received.body), (200, events(1..=5)));
+    assert_ne!(received.end, BodyEnd::Cut);
+    assert_eq!(deployment.run_count("s0"), 1);
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -8,11 +8,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use dotterelhoist_gateway::http::{within, Connection};
+use dotterelhoist_gateway::http::{within, BodyReader, Connection, Framing};
 use serde_json::json;
 use smol::net::TcpStream;
 use tempfile::TempDir;
 
+use crate::cuts::Cuts;
 use crate::engine::{Engine, Handle, Limit, Rest, Runs, Silence};
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
@@ -50,6 +51,26 @@
     pub body: String,
 }
 
+/// What told a caller that the body of a response is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The length or the chunks of the body.
+    Framed,
+    /// The connection was closed, and nothing else can tell.
+    Closed,
+    /// The body broke off.
+    Cut,
+}
+
+/// What a caller received of a response.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Received {
+    pub status: u16,
+    /// Body as far as it arrived.
+    pub body: String,
+    pub end: BodyEnd,
+}
+
 /// Kind of a request of [`Deployment::request_in_background`].
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
@@ -118,6 +139,8 @@
     pub silence: Silence,
     /// What the plain service turns away.
     rest: Arc<Mutex<Rest>>,
+    /// Streams that end in an unusual way.
+    pub cuts: Cuts,
     /// Number of labels that [`Deployment::unique_label`] has returned.
     label_count: AtomicU64,
 }
@@ -150,6 +173,7 @@
             limit: Limit::default(),
             silence: Silence::default(),
             rest: Arc::default(),
+            cuts: Cuts::default(),
             label_count: AtomicU64::new(0),
         };
         for index in 0..CONTROL_DAEMONS {
@@ -167,6 +191,7 @@
                 limit: deployment.limit.clone(),
                 silence: deployment.silence.clone(),
                 rest: deployment.rest.clone(),
+                cuts: deployment.cuts.clone(),
             };
             deployment.engines.push(Some(engine.start()));
         }
@@ -305,6 +330,28 @@
         self.send(self.entry_address(PORTS.callers), "POST", STREAM_PATH, &headers, "prompt")
     }
 
+    /// Sends a request on the streaming route and returns what arrives of the response; none if there
+    /// is no head within the timeout.
+    pub fn receive(&self, id: &str) -> Option<Received> {
+        let bytes = request(id, STREAM_PATH, "prompt");
+        let exchange = async {
+            let address = self.entry_address(PORTS.callers);
+            let mut connection = Connection::open(TcpStream::connect(address).await.ok()?);
+            connection.write(bytes.as_bytes()).await.ok()?;
+            receive(&mut connection).await
+        };
+        smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
+    }
+
+    /// Waits until two groups serve the streaming route.
+    pub fn wait_for_two_groups(&self) {
+        let two_serve = self.poll(WAIT_TIMEOUT, |deployment| {
+            deployment.stream(&deployment.unique_label(), None);
+            (deployment.silence.sender_count() > 1).then_some(())
+        });
+        assert!(two_serve.is_some(), "only one group serves");
+    }
+
     /// Sends a booking, which is not idempotent and may run at most once.
     pub fn book(&self, id: &str) -> Option<Reply> {
         self.book_at(id, BOOK_PATH)
@@ -536,6 +583,22 @@
     })
 }
 
+/// Receives a response up to the end of its body, whatever that is.
+async fn receive(connection: &mut Connection) -> Option<Received> {
+    let head = connection.read_response_head("POST", 16 << 10).await.ok()?;
+    let mut reader = BodyReader::new(head.framing);
+    let mut body = String::new();
+    let end = loop {
+        match connection.read_part(&mut reader).await {
+            Ok(Some(part)) => body.push_str(&String::from_utf8_lossy(&part)),
+            Ok(None) if head.framing == Framing::UntilClose => break BodyEnd::Closed,
+            Ok(None) => break BodyEnd::Framed,
+            Err(_) => break BodyEnd::Cut,
+        }
+    };
+    Some(Received { status: head.status, body, end })
+}
+
 /// Bytes of a request of the tenant after which the connection stays open.
 fn request(id: &str, path: &str, body: &str) -> String {
     let length = body.len();
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -12,6 +12,8 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
+use super::cuts::{Cut, Cuts, Framing};
+
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two events of a stream.
@@ -132,6 +134,8 @@
     pub silence: Silence,
     /// What it turns away if it is a plain service.
     pub rest: Arc<Mutex<Rest>>,
+    /// Streams that end in an unusual way, shared by all stand-ins.
+    pub cuts: Cuts,
 }
 
 /// Mutable state of a stand-in.
@@ -266,17 +270,19 @@
             return connection.write(&vec![b'x'; length]).await.ok();
         }
         self.silence.wait(&self.id, &id, 0).await;
+        let last_event_id = head.headers.find("last-event-id").and_then(|id| id.parse().ok());
+        if let Some(cut) = self.cuts.next(&id) {
+            send_cut(connection, &common_headers, cut, last_event_id.unwrap_or(0)).await;
+            return None;
+        }
         let body_headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
         let line = format!("HTTP/1.1 200 OK\r\n{common_headers}\r\n{body_headers}\r\n\r\n");
         connection.write(line.as_bytes()).await.ok()?;
-        let last_event_id = head.headers.find("last-event-id").and_then(|id| id.parse().ok());
-        for event in last_event_id.unwrap_or(0) + 1..=event_count {
+        for number in last_event_id.unwrap_or(0) + 1..=event_count {
             Timer::after(EVENT_INTERVAL).await;
-            self.silence.wait(&self.id, &id, event - 1).await;
-            let text = format!("id: {event}\ndata: piece\n\n");
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            connection.write(chunk.as_bytes()).await.ok()?;
-            self.silence.record_sent(&self.id, &id, event);
+            self.silence.wait(&self.id, &id, number - 1).await;
+            connection.write(chunk(&event(number)).as_bytes()).await.ok()?;
+            self.silence.record_sent(&self.id, &id, number);
         }
         connection.write(b"0\r\n\r\n").await.ok()
     }
@@ -299,6 +305,43 @@
     }
 }
 
+/// Text of the event with this number.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece\n\n")
+}
+
+/// Encodes a chunk of a body.
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Sends a stream that ends like `cut`, up to the end of its body.
+async fn send_cut(
+    connection: &mut Connection,
+    common_headers: &str,
+    cut: Cut,
+    last_event_id: u64,
+) -> Option<()> {
+    let parts = cut.parts(last_event_id);
+    let framing_header = match cut.framing {
+        Framing::Connection => "Connection: close".to_owned(),
+        Framing::Chunks => "Transfer-Encoding: chunked".to_owned(),
+        Framing::Length => format!("Content-Length: {}", parts.concat().len()),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{common_headers}\r\nContent-Type: text/event-stream\r\n\
+         {framing_header}\r\n\r\n"
+    );
+    connection.write(head.as_bytes()).await.ok()?;
+    for part in parts {
+        Timer::after(EVENT_INTERVAL).await;
+        let bytes = if cut.framing == Framing::Chunks { chunk(&part) } else { part };
+        connection.write(bytes.as_bytes()).await.ok()?;
+    }
+    let end = if cut.framing == Framing::Chunks { "0\r\n\r\n" } else { "" };
+    connection.write(end.as_bytes()).await.ok()
+}
+
 /// Carries out an order and returns the status code of the answer. `open`, `close` and `leave` are
 /// refused with 409 for another group or epoch. Unlike on a real engine, joining a group takes no
 /// time.
