Split event streams at every line end of the standard, in linear time

What callers saw: an event that ends in CR CR is never forwarded before the end of the stream; a byte order mark hides the id of the first event, so that a resumed stream repeats it; of two ids the first counts; a complete comment at the end is part of an event. An event without end is searched from its beginning with each part that arrives, and its buffer has no bound.

The splitter now scans each byte once, line by line, and an event longer than 1 MiB ends the stream (lost.event_too_long).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,78 +1,208 @@
 //! Splitting of event streams (`text/event-stream`) into events.
 //!
 //! An event is forwarded once it is complete. If a stream breaks off within an event, another
-//! endpoint can then resume it after the last complete one.
+//! endpoint can then resume it after the last complete one. Lines end with LF, CR LF or CR, as in
+//! the standard for server-sent events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
+use memchr::memchr2;
+
+/// Longest event, up to its empty line. A stream with a longer one is not forwarded further.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Byte order mark in UTF-8, which may stand at the beginning of a stream.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// Splits a stream into complete events.
-#[derive(Debug, Default)]
-pub(crate) struct Splitter {
+///
+/// ```
+/// use dotterelhoist_gateway::events::Splitter;
+///
+/// let mut splitter = Splitter::open(false);
+/// splitter.push(b"id: 1\ndata: x\n\nid: 2\nda");
+/// let event = splitter.next().unwrap().expect("the first event is complete");
+/// assert_eq!((&*event.bytes, event.id), (b"id: 1\ndata: x\n\n".as_slice(), Some(1)));
+/// assert_eq!(splitter.next().unwrap(), None);
+/// assert!(splitter.is_inside_event());
+/// ```
+#[derive(Debug)]
+pub struct Splitter {
     /// Bytes received and not yet returned as an event.
     buffer: BytesMut,
+    /// Where the current line begins in the buffer.
+    line_start: usize,
+    /// Up to where the buffer has been searched for the end of the current line.
+    searched: usize,
+    /// Whether the current line follows a CR, so that an LF at its beginning belongs to the end of
+    /// the previous line.
+    follows_cr: bool,
+    /// Whether a line of the current event is a field.
+    has_field: bool,
+    /// Whether the beginning of the stream has not been searched for a byte order mark yet.
+    at_start: bool,
+    /// Whether the stream continues another one, in the middle of which a byte order mark would be
+    /// taken for a part of its first line.
+    continues: bool,
 }
 
 /// A complete event.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Event {
+pub struct Event {
     /// Bytes of the event, including the empty line that ends it.
     pub bytes: Bytes,
     /// Value of its `id` field; none if the event has no `id` or it is not a number.
     pub id: Option<u64>,
 }
 
+/// Why a stream can't be split.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// an event is longer than the limit
+    EventTooLong,
+}
+
+impl std::error::Error for Error {}
+
 impl Event {
     /// Whether the caller has this event, if `last` is the id of the last one that it got.
-    pub(crate) fn is_known(&self, last: Option<u64>) -> bool {
+    pub fn is_known(&self, last: Option<u64>) -> bool {
         self.id.is_some() && self.id <= last
     }
 }
 
 impl Splitter {
+    /// Prepares to split a stream; `continues` says whether its caller has the beginning of another
+    /// one.
+    pub fn open(continues: bool) -> Splitter {
+        Splitter {
+            buffer: BytesMut::new(),
+            line_start: 0,
+            searched: 0,
+            follows_cr: false,
+            has_field: false,
+            at_start: true,
+            continues,
+        }
+    }
+
     /// Appends bytes received from the stream.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes and returns the next event; none until it is complete.
-    pub(crate) fn next(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.buffer)?;
-        let bytes = self.buffer.split_to(end).freeze();
-        let id = event_id(&bytes);
-        Some(Event { bytes, id })
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event is longer than [`MAX_EVENT_BYTES`].
+    #[allow(clippy::should_implement_trait, reason = "more events may follow the end")]
+    pub fn next(&mut self) -> Result<Option<Event>, Error> {
+        if self.at_start && !self.skip_byte_order_mark() {
+            return Ok(None);
+        }
+        while let Some(end) = self.line_end() {
+            let line = &self.buffer[self.line_start..end];
+            let is_empty = line.is_empty();
+            self.has_field |= !is_empty && !line.starts_with(b":");
+            self.begin_line(end);
+            if is_empty {
+                return self.take_event().map(Some);
+            }
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(Error::EventTooLong);
+        }
+        Ok(None)
+    }
+
+    /// Whether the bytes after the last event that [`Self::next`] has returned are a part of an
+    /// event or of a line. Complete comment lines are neither.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_field || self.line_start < self.buffer.len()
     }
 
     /// Number of bytes after the last event that [`Self::next`] has returned.
-    pub(crate) fn unfinished_bytes(&self) -> usize {
+    pub fn unfinished_bytes(&self) -> usize {
         self.buffer.len()
     }
 
-    /// Removes and returns the bytes after the last event that [`Self::next`] has returned. They
-    /// are forwarded unchanged if the stream ends without an error.
-    pub(crate) fn take_rest(&mut self) -> Bytes {
+    /// Removes and returns the bytes after the last event that [`Self::next`] has returned.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.line_start = 0;
+        self.searched = 0;
         self.buffer.split().freeze()
     }
-}
 
-/// Length of the first event, up to and including its empty line; none if it is incomplete.
-fn end_of_event(buffer: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(at) = buffer[start..].iter().position(|byte| *byte == b'\n') {
-        let next = start + at + 1;
-        match (buffer.get(next), buffer.get(next + 1)) {
-            (Some(b'\n'), _) => return Some(next + 1),
-            (Some(b'\r'), Some(b'\n')) => return Some(next + 2),
-            _ => start = next,
+    /// Moves past a byte order mark at the beginning of the stream, or removes it from a stream that
+    /// continues another one. Returns false as long as only a part of one may have arrived.
+    fn skip_byte_order_mark(&mut self) -> bool {
+        if self.buffer.len() < BYTE_ORDER_MARK.len() && BYTE_ORDER_MARK.starts_with(&self.buffer) {
+            return false;
         }
+        self.at_start = false;
+        if !self.buffer.starts_with(BYTE_ORDER_MARK) {
+            return true;
+        }
+        if self.continues {
+            self.buffer.advance(BYTE_ORDER_MARK.len());
+            return true;
+        }
+        self.line_start = BYTE_ORDER_MARK.len();
+        self.searched = self.line_start;
+        true
+    }
+
+    /// Position of the CR or LF that ends the current line; none if it has not arrived.
+    fn line_end(&mut self) -> Option<usize> {
+        if self.follows_cr && self.buffer.get(self.line_start) == Some(&b'\n') {
+            self.line_start += 1;
+            self.searched = self.line_start;
+            self.follows_cr = false;
+        }
+        let found = memchr2(b'\n', b'\r', &self.buffer[self.searched..]);
+        let end = found.map(|offset| self.searched + offset);
+        self.searched = end.unwrap_or(self.buffer.len());
+        end
+    }
+
+    /// Begins the line after the CR or LF at `end`, or after the LF that follows that CR.
+    fn begin_line(&mut self, end: usize) {
+        let is_cr = self.buffer[end] == b'\r';
+        let is_crlf = is_cr && self.buffer.get(end + 1) == Some(&b'\n');
+        self.line_start = if is_crlf { end + 2 } else { end + 1 };
+        self.searched = self.line_start;
+        self.follows_cr = is_cr && !is_crlf;
+    }
+
+    /// Removes the bytes up to the current line, which are an event.
+    fn take_event(&mut self) -> Result<Event, Error> {
+        if self.line_start > MAX_EVENT_BYTES {
+            return Err(Error::EventTooLong);
+        }
+        let bytes = self.buffer.split_to(self.line_start).freeze();
+        self.line_start = 0;
+        self.searched = 0;
+        self.has_field = false;
+        let id = event_id(&bytes);
+        Ok(Event { bytes, id })
     }
-    None
 }
 
-/// Value of the first `id` field of an event; none if there is no such field or the value is not a
+/// Value of the last `id` field of an event; none if there is no such field or the value is not a
 /// number.
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    let lines = bytes.split(|byte| *byte == b'\n');
-    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = values.filter_map(|value| std::str::from_utf8(value).ok()).next()?;
-    text.trim().parse().ok()
+    let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    let lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let value = lines.filter_map(|line| field_value(line, b"id")).next_back()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
+/// Value in the line if it is the field `name`; empty for a line without a colon.
+fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let rest = line.strip_prefix(name)?;
+    match rest.first() {
+        None => Some(rest),
+        Some(b':') => Some(&rest[1..]),
+        Some(_) => None,
+    }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -94,18 +94,23 @@
                 }
                 None => self.ended = true,
             }
-            self.split_events(shell, request_id, target);
+            self.split_events(shell, request_id, target).map_err(End::Lost)?;
         }
         Ok(())
     }
 
     /// Moves the complete events to `events`; at the end of the stream also what follows them, as an
     /// event without an id.
-    fn split_events<Platform>(&mut self, shell: &Shell<Platform>, request_id: &Name, target: &Name)
+    fn split_events<Platform>(
+        &mut self,
+        shell: &Shell<Platform>,
+        request_id: &Name,
+        target: &Name,
+    ) -> Result<(), Loss>
     where
         Platform: Protocol,
     {
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.next().map_err(|_| Loss::EventTooLong)? {
             if !event.is_known(self.last_event_id) {
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.events.push(event);
@@ -119,6 +124,7 @@
         if !rest.is_empty() {
             self.events.push(Event { bytes: rest, id: None });
         }
+        Ok(())
     }
 
     /// Returns the connection to the pool, after the stream has ended.
@@ -191,7 +197,7 @@
             ended: false,
             last_event_id,
             connection,
-            splitter: Splitter::default(),
+            splitter: Splitter::open(last_event_id.is_some()),
         });
         stream.fill(shell, &incoming.request_id, &attempt.target).await?;
         return Ok(Reply::Stream(stream));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod control;
 pub mod entry;
+pub mod events;
 pub mod http;
 pub mod journal;
 pub mod links;
@@ -18,7 +19,6 @@
 pub mod protocol;
 pub mod signals;
 
-mod events;
 mod exchange;
 mod orders;
 mod response;
