A stream that ends inside an event has broken off

Cause: at the end of a body, whatever ended it, the rest after the last whole event was forwarded as an event of its own, followed by the last chunk, and the attempt counted as answered. The class of fault: the end of a transfer is taken for the end of the content.

Now the stream itself decides whether it is complete: inside an event it has broken off, whatever ended its body (length, last chunk, connection), and the attempt ends as lost (cut_in_event): continued by another endpoint where the route allows it, else refused, or cut so that the caller sees the truncation. No part of an event is sent, so nothing has to be taken back.

--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -185,6 +185,8 @@
     HeadTooLong,
     /// The body is longer than the limit.
     BodyTooLong,
+    /// The body of a stream ended inside an event.
+    CutInEvent,
     /// An event of a stream is longer than the limit.
     EventTooLong,
     /// The response names another request or none.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -121,9 +121,13 @@
         self.has_field || self.line_start < self.buffer.len()
     }
 
-    /// Number of bytes after the last event that [`Self::next`] has returned.
+    /// Number of bytes that have arrived of an event that is not complete.
     pub fn unfinished_bytes(&self) -> usize {
-        self.buffer.len()
+        if self.is_inside_event() {
+            self.buffer.len()
+        } else {
+            0
+        }
     }
 
     /// Removes and returns the bytes after the last event that [`Self::next`] has returned.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -86,41 +86,44 @@
         Platform: Protocol,
     {
         while self.events.is_empty() && !self.ended {
-            let part = self.connection.read_part(&mut self.body).await;
-            match part.map_err(loss_of)? {
+            let part = self.connection.read_part(&mut self.body).await.map_err(loss_of)?;
+            match part {
                 Some(part) => {
                     shell.record_progress(target);
                     self.splitter.push(&part);
+                    self.split_events().map_err(End::Lost)?;
+                }
+                None => {
+                    let unfinished_bytes = self.splitter.unfinished_bytes();
+                    let framing = self.head.framing;
+                    shell.record_stream_end(request_id, target, framing, unfinished_bytes);
+                    self.end().map_err(End::Lost)?;
                 }
-                None => self.ended = true,
             }
-            self.split_events(shell, request_id, target).map_err(End::Lost)?;
         }
         Ok(())
     }
 
-    /// Moves the complete events to `events`; at the end of the stream also what follows them, as an
-    /// event without an id.
-    fn split_events<Platform>(
-        &mut self,
-        shell: &Shell<Platform>,
-        request_id: &Name,
-        target: &Name,
-    ) -> Result<(), Loss>
-    where
-        Platform: Protocol,
-    {
+    /// Moves the complete events to `events`.
+    fn split_events(&mut self) -> Result<(), Loss> {
         while let Some(event) = self.splitter.next().map_err(|_| Loss::EventTooLong)? {
             if !event.is_known(self.last_event_id) {
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.events.push(event);
             }
         }
-        if self.ended {
-            let unfinished_bytes = self.splitter.unfinished_bytes();
-            shell.record_stream_end(request_id, target, self.head.framing, unfinished_bytes);
+        Ok(())
+    }
+
+    /// Decides whether the stream is complete now that its body has ended. Inside an event it has
+    /// broken off, whatever ended the body. Otherwise what follows the last event, such as a comment,
+    /// is moved to `events`.
+    fn end(&mut self) -> Result<(), Loss> {
+        if self.splitter.is_inside_event() {
+            return Err(Loss::CutInEvent);
         }
-        let rest = if self.ended { self.splitter.take_rest() } else { Bytes::new() };
+        self.ended = true;
+        let rest = self.splitter.take_rest();
         if !rest.is_empty() {
             self.events.push(Event { bytes: rest, id: None });
         }
