Reading from a peer lets other tasks run

Cause: a task whose socket always has bytes never waits, so that neither other tasks nor timers run, its own deadline included.

The class of fault is not one message: every read from a peer now takes turns. After four reads without waiting the task is put behind the others. stream::Turn does so for connections of callers, endpoints, operators, probes, orders and scrapes in the gateway; stream::Stream for the links between daemons, and for what async-h1 reads in the own interface.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -15,6 +15,7 @@
 use async_h1::server::{ConnectionStatus, Server};
 use dotterelhoist_core::control::command::Run;
 use dotterelhoist_core::request::{Reason, Refusal};
+use dotterelhoist_wire::stream::Stream;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use http_types::headers::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http_types::{Body, Request, Response, StatusCode};
@@ -47,7 +48,7 @@
 /// A connection of a client, shared by the HTTP server and the handler of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Socket {
-    stream: TcpStream,
+    stream: Stream<TcpStream>,
     state: Arc<SocketState>,
 }
 
@@ -67,7 +68,7 @@
 
 impl Socket {
     fn new(stream: TcpStream) -> Socket {
-        Socket { stream, state: Arc::default() }
+        Socket { stream: Stream::open(stream), state: Arc::default() }
     }
 
     /// Makes all further reads report the end of the stream.
@@ -79,7 +80,7 @@
     /// were not read yet.
     pub(crate) async fn wait_closed(&self) {
         let mut byte = [0];
-        match self.stream.peek(&mut byte).await {
+        match self.stream.inner().peek(&mut byte).await {
             Ok(0) | Err(_) => {}
             Ok(_) => std::future::pending().await,
         }
@@ -223,7 +224,7 @@
         socket.write_all(head.as_bytes()).await.ok();
         socket.write_all(body.as_bytes()).await.ok();
         socket.flush().await.ok();
-        socket.stream.shutdown(std::net::Shutdown::Write).ok();
+        socket.stream.inner().shutdown(std::net::Shutdown::Write).ok();
     };
     let timeout = async {
         Timer::after(Duration::from_secs(1)).await;
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -11,6 +11,7 @@
 
 use dotterelhoist_core::request::{Dispatch, End};
 use dotterelhoist_core::Name;
+use dotterelhoist_wire::stream::Stream;
 use futures_lite::FutureExt;
 use http_types::headers::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http_types::{Method, Request, Response, Url};
@@ -130,7 +131,7 @@
         if let Some(content_type) = &outgoing.content_type {
             request.insert_header(CONTENT_TYPE, content_type.as_str());
         }
-        let response = async_h1::connect(stream.clone(), request).await?;
+        let response = async_h1::connect(Stream::open(stream.clone()), request).await?;
         let connection =
             Connection { address: dispatch.address.clone(), stream, pool: self.clone() };
         Ok(Answer { length: response.len(), response, connection })
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -5,14 +5,16 @@
 //! parses heads with `httparse` and reads bodies itself, within size limits. Messages whose framing
 //! is ambiguous are refused.
 
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use dotterelhoist_wire::stream::Turn;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
@@ -61,13 +63,15 @@
     pub stream: TcpStream,
     /// Bytes that were read and not yet parsed.
     pub buffer: BytesMut,
+    /// Lets other tasks run while bytes arrive faster than they are handled.
+    turn: Turn,
 }
 
 impl Connection {
     /// Wraps a socket and disables Nagle's algorithm on it.
     pub fn open(stream: TcpStream) -> Connection {
         stream.set_nodelay(true).ok();
-        Connection { stream, buffer: BytesMut::new() }
+        Connection { stream, buffer: BytesMut::new(), turn: Turn::default() }
     }
 
     /// Reads once into the buffer and returns the number of bytes; 0 means that the other side has
@@ -78,7 +82,11 @@
     /// Returns the error of the socket.
     pub async fn fill(&mut self) -> io::Result<usize> {
         let mut chunk = [0u8; READ_BUFFER_BYTES];
-        let count = self.stream.read(&mut chunk).await?;
+        let Connection { stream, turn, .. } = self;
+        let read = poll_fn(|context| {
+            turn.poll(context, |context| Pin::new(&mut *stream).poll_read(context, &mut chunk))
+        });
+        let count = read.await?;
         self.buffer.extend_from_slice(&chunk[..count]);
         Ok(count)
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,6 +18,8 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
+pub mod stream;
+
 /// Longest frame that is sent or accepted; a longer one is an error. A snapshot must fit into one
 /// frame.
 pub const MAX_FRAME_BYTES: usize = 256 << 20;
@@ -43,21 +45,24 @@
 
 /// A connection that sends and receives frames whose payload is an `Item`.
 #[derive(Debug)]
-pub struct Connection<Stream, Item = Frame> {
-    framed: Framed<Compat<Stream>, LengthDelimitedCodec>,
+pub struct Connection<Inner, Item = Frame> {
+    framed: Framed<Compat<stream::Stream<Inner>>, LengthDelimitedCodec>,
     item: PhantomData<Item>,
 }
 
-impl<Stream, Item> Connection<Stream, Item>
+impl<Inner, Item> Connection<Inner, Item>
 where
-    Stream: AsyncRead + AsyncWrite + Unpin,
+    Inner: AsyncRead + AsyncWrite + Unpin,
     Item: Message + Default,
 {
     /// Wraps a stream that is already connected.
-    pub fn open(stream: Stream) -> Connection<Stream, Item> {
+    pub fn open(inner: Inner) -> Connection<Inner, Item> {
         let mut codec = LengthDelimitedCodec::new();
         codec.set_max_frame_length(MAX_FRAME_BYTES);
-        Connection { framed: Framed::new(stream.compat(), codec), item: PhantomData }
+        Connection {
+            framed: Framed::new(stream::Stream::open(inner).compat(), codec),
+            item: PhantomData,
+        }
     }
 
     /// Adds a frame to the send buffer. It is sent by the next [`flush`](Connection::flush) at the
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,6 +8,7 @@
 
 use self::cuts::{Cut, Framing};
 use self::deployment::{BodyEnd, Call, Caller, Deployment, Exchange, Kind, Received, Reply};
+use self::floods::Flood;
 
 #[path = "platform/cuts.rs"]
 mod cuts;
@@ -15,6 +16,8 @@
 mod deployment;
 #[path = "platform/engine.rs"]
 mod engine;
+#[path = "platform/floods.rs"]
+mod floods;
 
 /// Number of requests that one call of [`serve_all`] sends.
 const REQUESTS: usize = 40;
@@ -33,6 +36,8 @@
 const MAX_BODY_BYTES: usize = 100;
 /// Number of events of a stream that lasts longer than a stopping entry daemon accepts requests.
 const STREAM_EVENTS_BEYOND_STOP: u64 = 95;
+/// Number of responses without end that are sent at the same time.
+const ENDLESS_RESPONSES: usize = 3;
 /// Time within which a deployment must recover from a failure.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -431,3 +436,34 @@
     assert_ne!(received.end, BodyEnd::Cut);
     assert_eq!(deployment.run_count("s0"), 1);
 }
+
+/// Engines send responses without end: all other requests must be served meanwhile.
+#[rstest]
+#[case::event(Flood::Event)]
+#[case::chunked_event(Flood::ChunkedEvent)]
+#[case::known_events(Flood::KnownEvents)]
+#[case::interim_responses(Flood::Interim)]
+#[case::trailers(Flood::Trailers)]
+#[case::chunk_extensions(Flood::ChunkExtensions)]
+#[case::head(Flood::Head)]
+#[case::declined(Flood::Declined)]
+fn bookings_are_served_beside_responses_without_end(#[case] flood: Flood) {
+    let deployment = Deployment::start();
+    let ids: Vec<String> = (0..ENDLESS_RESPONSES).map(|number| format!("f{number}-0")).collect();
+    let callers: Vec<_> =
+        ids.iter().map(|id| deployment.request_in_background(id, Kind::Endless(flood))).collect();
+    let all_run = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+        ids.iter().all(|id| deployment.run_count(id) > 0).then_some(())
+    });
+    assert!(all_run.is_some(), "not all responses have begun in time");
+    for number in 0..REQUESTS {
+        let reply = deployment.book(&format!("b{number}-1"));
+        assert_eq!(reply.map(|reply| reply.status), Some(200), "booking {number}");
+    }
+    for caller in callers {
+        let exchange = caller.join().expect("the caller's thread does not panic");
+        let status = exchange.reply.map(|reply| reply.status);
+        assert_ne!(status, Some(200), "a response without end looks complete");
+    }
+    deployment.check_run_counts();
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -15,6 +15,7 @@
 
 use crate::cuts::Cuts;
 use crate::engine::{Engine, Handle, Limit, Rest, Runs, Silence};
+use crate::floods::Flood;
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
@@ -78,6 +79,8 @@
     Stream { events: u64 },
     /// A booking.
     Booking,
+    /// A stream whose response has no end.
+    Endless(Flood),
 }
 
 /// Two responses on one connection; none for one that is not complete.
@@ -397,6 +400,7 @@
         let (path, body) = match kind {
             Kind::Stream { events } => (STREAM_PATH, format!("prompt {events}")),
             Kind::Booking => (BOOK_PATH, "seat".to_owned()),
+            Kind::Endless(flood) => (STREAM_PATH, format!("flood {flood}")),
         };
         let first = request(id, path, &body);
         let next = request(&format!("{id}-next1"), BOOK_PATH, "seat");
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -13,6 +13,7 @@
 use smol::Timer;
 
 use super::cuts::{Cut, Cuts, Framing};
+use super::floods;
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -269,6 +270,10 @@
             connection.write(line.as_bytes()).await.ok()?;
             return connection.write(&vec![b'x'; length]).await.ok();
         }
+        if let Some(flood) = body.strip_prefix(b"flood ") {
+            let flood = std::str::from_utf8(flood).ok()?.parse().ok()?;
+            return floods::send(connection, &common_headers, flood).await;
+        }
         self.silence.wait(&self.id, &id, 0).await;
         let last_event_id = head.headers.find("last-event-id").and_then(|id| id.parse().ok());
         if let Some(cut) = self.cuts.next(&id) {
