Bound interim responses, trailer fields and chunk sizes

Found by reading the reading loops for bytes without end: interim (1xx) responses and trailer fields are skipped without a bound, and a chunk may have up to 256 bytes of extension for each byte. A peer that sends them without end keeps a request until its deadline.

Now interim responses may have as many bytes together as a head, a trailer section 16 KiB, chunk sizes and extensions 64 KiB and eight bytes for each byte of the body (one-byte chunks have five). Before, the cases of bytes_without_end_are_an_error_of_their_own ended with the connection only (Closed, CutInBody).

--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -183,8 +183,14 @@
     Malformed,
     /// The head is longer than the limit.
     HeadTooLong,
+    /// The interim responses before it are longer than the limit.
+    InterimTooLong,
     /// The body is longer than the limit.
     BodyTooLong,
+    /// The trailer fields are longer than the limit.
+    TrailerTooLong,
+    /// The chunk sizes and extensions are longer than the limit.
+    ChunksTooLong,
     /// The body of a stream ended inside an event.
     CutInEvent,
     /// An event of a stream is longer than the limit.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -432,10 +432,12 @@
     /// Refuses a request that could not be read. There is no response if the connection failed.
     async fn refuse_unreadable(&self, connection: &Connection, error: &Error) {
         let reason = match error {
-            Error::HeadTooLong => Reason::HeadTooLong,
+            Error::HeadTooLong | Error::TrailerTooLong => Reason::HeadTooLong,
             Error::BodyTooLong => Reason::BodyTooLong,
-            Error::Malformed(_) | Error::CutInHead | Error::CutInBody => Reason::Malformed,
-            Error::Closed | Error::Broken(_) => return,
+            Error::Malformed(_) | Error::ChunksTooLong | Error::CutInHead | Error::CutInBody => {
+                Reason::Malformed
+            }
+            Error::Closed | Error::Broken(_) | Error::InterimTooLong => return,
         };
         self.meter.count(&format!("refused.{reason}"));
         let mut response = Response::open(connection.stream.clone(), false);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -221,6 +221,9 @@
         Error::CutInBody => Loss::CutInBody,
         Error::Malformed(_) => Loss::Malformed,
         Error::HeadTooLong => Loss::HeadTooLong,
+        Error::InterimTooLong => Loss::InterimTooLong,
+        Error::TrailerTooLong => Loss::TrailerTooLong,
+        Error::ChunksTooLong => Loss::ChunksTooLong,
         Error::BodyTooLong => Loss::BodyTooLong,
     })
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -50,6 +50,12 @@
     Malformed(&'static str),
     /// the head exceeds its size limit or has too many headers
     HeadTooLong,
+    /// the interim responses before a head exceed their size limit
+    InterimTooLong,
+    /// the trailer fields exceed their size limit
+    TrailerTooLong,
+    /// the chunk sizes and extensions exceed their size limit
+    ChunksTooLong,
     /// the body exceeds its size limit
     BodyTooLong,
 }
@@ -122,8 +128,9 @@
         }
     }
 
-    /// Reads the head of the response to a request with this method; skips interim (1xx) responses.
-    /// A head that is still incomplete once more than `max_bytes` are buffered is too long.
+    /// Reads the head of the response to a request with this method; skips interim (1xx) responses of
+    /// together at most `max_bytes`. A head that is still incomplete once more than `max_bytes` are
+    /// buffered is too long.
     ///
     /// # Errors
     ///
@@ -134,12 +141,17 @@
         method: &str,
         max_bytes: usize,
     ) -> Result<ResponseHead, Error> {
+        let mut interim_bytes = 0;
         loop {
             if let Some((head, length)) = parse_response_head(&self.buffer, method)? {
                 self.buffer.advance(length);
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim_bytes += length;
+                if interim_bytes > max_bytes {
+                    return Err(Error::InterimTooLong);
+                }
                 continue;
             }
             if self.buffer.len() > max_bytes {
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -8,6 +8,15 @@
 /// Bytes to buffer while waiting for the end of a chunk-size or trailer line of a chunked body. If
 /// more have arrived without a line end, the body is malformed.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Length of a line end, as far as limits are concerned.
+const LINE_END_BYTES: usize = 2;
+/// Longest trailer section.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
+/// Bytes that the chunk sizes, extensions and line ends of a body may have besides
+/// [`CHUNK_OVERHEAD_FACTOR`].
+const MIN_CHUNK_OVERHEAD_BYTES: u64 = 64 << 10;
+/// Multiple of the bytes of a body that its chunk sizes, extensions and line ends may have.
+const CHUNK_OVERHEAD_FACTOR: u64 = 8;
 
 /// Progress of reading a body.
 #[derive(Debug)]
@@ -18,6 +27,12 @@
     remaining: u64,
     /// Used for chunked bodies only.
     chunk_state: ChunkState,
+    /// Bytes of chunks so far.
+    chunk_bytes: u64,
+    /// Bytes of chunk sizes, extensions and line ends so far.
+    overhead_bytes: u64,
+    /// Bytes of the trailer section so far.
+    trailer_bytes: usize,
 }
 
 /// What comes next in a chunked body.
@@ -52,7 +67,14 @@
             Framing::Length(length) => length,
             _ => 0,
         };
-        BodyReader { framing, remaining, chunk_state: ChunkState::Size }
+        BodyReader {
+            framing,
+            remaining,
+            chunk_state: ChunkState::Size,
+            chunk_bytes: 0,
+            overhead_bytes: 0,
+            trailer_bytes: 0,
+        }
     }
 
     /// Removes the next bytes of the body from the buffer.
@@ -81,15 +103,20 @@
         loop {
             match self.chunk_state {
                 ChunkState::Size => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedsBytes) };
+                    let Some(line) = self.take_chunk_line(buffer)? else {
+                        return Ok(Step::NeedsBytes);
+                    };
                     self.remaining = parse_chunk_size(&line)?;
+                    self.chunk_bytes = self.chunk_bytes.saturating_add(self.remaining);
                     self.chunk_state =
                         if self.remaining == 0 { ChunkState::Trailer } else { ChunkState::Data };
                 }
                 ChunkState::Data if self.remaining > 0 => return Ok(self.take(buffer)),
                 ChunkState::Data => self.chunk_state = ChunkState::DataEnd,
                 ChunkState::DataEnd => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedsBytes) };
+                    let Some(line) = self.take_chunk_line(buffer)? else {
+                        return Ok(Step::NeedsBytes);
+                    };
                     if !line.is_empty() {
                         return Err(Error::Malformed("a chunk is longer than its stated size"));
                     }
@@ -100,11 +127,27 @@
                     if line.is_empty() {
                         self.chunk_state = ChunkState::End;
                     }
+                    self.trailer_bytes += line.len() + LINE_END_BYTES;
+                    if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(Error::TrailerTooLong);
+                    }
                 }
                 ChunkState::End => return Ok(Step::End),
             }
         }
     }
+
+    /// Removes a line with the size of a chunk, or after its data, from the buffer; none if it is
+    /// incomplete.
+    fn take_chunk_line(&mut self, buffer: &mut BytesMut) -> Result<Option<BytesMut>, Error> {
+        let Some(line) = take_line(buffer)? else { return Ok(None) };
+        self.overhead_bytes += (line.len() + LINE_END_BYTES) as u64;
+        let allowed = self.chunk_bytes.saturating_mul(CHUNK_OVERHEAD_FACTOR);
+        if self.overhead_bytes > allowed.saturating_add(MIN_CHUNK_OVERHEAD_BYTES) {
+            return Err(Error::ChunksTooLong);
+        }
+        Ok(Some(line))
+    }
 }
 
 /// Removes a line from the buffer and returns it without its line end; none if it is incomplete.
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -77,6 +77,8 @@
 )]
 #[case::until_close("\r\nhello", false, Some("hello"))]
 #[case::length_cut("Content-Length: 9\r\n\r\nhello", false, None)]
+#[case::chunk_size_cut("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0", false, None)]
+#[case::last_chunk_cut("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", false, None)]
 #[case::chunks_cut("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false, None)]
 #[case::chunk_too_long("Transfer-Encoding: chunked\r\n\r\n2\r\nhello\r\n0\r\n\r\n", true, None)]
 #[case::chunk_without_size("Transfer-Encoding: chunked\r\n\r\nxyz\r\n", true, None)]
@@ -111,6 +113,62 @@
     });
 }
 
+/// Bytes of a response that a peer sends as long as it is read, followed by a close.
+const FLOOD_BYTES: usize = 1 << 20;
+
+/// Reads the response to a request from a peer that sends `start` and then `part` again and again.
+async fn read_flood(start: &str, part: &str) -> Result<bytes::Bytes, Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let flood = start.to_owned() + &part.repeat(FLOOD_BYTES / part.len());
+    let send = smol::spawn(async move {
+        let (mut sender, _) = listener.accept().await.expect("a connection is made");
+        sender.write_all(flood.as_bytes()).await.ok();
+    });
+    let stream = TcpStream::connect(address).await.expect("the listener accepts connections");
+    let mut connection = Connection::open(stream);
+    let head = connection.read_response_head("POST", 8192).await?;
+    let body = connection.read_body(head.framing, FLOOD_BYTES * 2).await;
+    drop(connection);
+    send.await;
+    body
+}
+
+#[rstest]
+#[case::interim("", "HTTP/1.1 102 Processing\r\n\r\n", "InterimTooLong")]
+#[case::head("HTTP/1.1 200 OK\r\nX: ", "x", "HeadTooLong")]
+#[case::trailers(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "X: y\r\n",
+    "TrailerTooLong"
+)]
+#[case::extensions(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\nz\r\n",
+    "ChunksTooLong"
+)]
+#[case::extension("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x", "Malformed")]
+#[case::zeros("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", "Malformed")]
+fn bytes_without_end_are_an_error_of_their_own(
+    #[case] start: &str,
+    #[case] part: &str,
+    #[case] expected: &str,
+) {
+    let result = smol::block_on(read_flood(start, part));
+    let error = format!("{:?}", result.expect_err("the response has no end"));
+    assert!(error.starts_with(expected), "{error}");
+}
+
+#[test]
+fn body_in_chunks_of_one_byte_is_complete() {
+    let start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunks = "1\r\nx\r\n".repeat(200_000);
+    smol::block_on(async {
+        let body = read_flood(&format!("{start}{chunks}0\r\n\r\n"), "x").await;
+        assert_eq!(body.expect("the body is complete").len(), 200_000);
+    });
+}
+
 #[test]
 fn connection_with_unrequested_bytes_is_not_reusable() {
     smol::block_on(async {
