A response is given up once only known or refused bytes follow

What callers saw: an engine that ignores the id to resume after, and sends events that the caller has without end, or that declines a request with a body without end, holds the request until its deadline; it is then refused with 504 and never tried elsewhere.

Of events that the caller has, a stream may repeat 1 MiB between two new ones (lost.repeated); the body of a response that declines a request is read only to reuse the connection, at most 16 KiB and 50 ms.

--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -195,6 +195,8 @@
     CutInEvent,
     /// An event of a stream is longer than the limit.
     EventTooLong,
+    /// A stream sends events that the caller has, and no other ones.
+    Repeated,
     /// The response names another request or none.
     WrongRequest,
     /// The response has no signature.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,8 @@
 //! One attempt to get a response from an endpoint: sends the request and reads the response up to
 //! the first part that can be forwarded.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use dotterelhoist_fleet::document::Kind;
 use dotterelhoist_fleet::entry::{Attempt, End, Loss};
@@ -10,7 +12,8 @@
 use crate::entry::Shell;
 use crate::events::{Event, Splitter};
 use crate::http::{
-    is_hop_by_hop, push_header, BodyReader, Connection, Error, Framing, RequestHead, ResponseHead,
+    is_hop_by_hop, push_header, within, BodyReader, Connection, Error, Framing, RequestHead,
+    ResponseHead,
 };
 use crate::protocol::Protocol;
 
@@ -20,6 +23,14 @@
 /// attempt as [`End::Lost`]. Event streams are not limited.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Bytes of events that the caller has, which one stream may repeat before others; a stream that
+/// repeats more ends the attempt as [`End::Lost`].
+const MAX_REPEATED_BYTES: usize = 1 << 20;
+/// Longest body of a response that declines a request, after which the connection is reused.
+const MAX_DECLINED_BODY_BYTES: usize = 16 << 10;
+/// Time for the body of a response that declines a request; after that the connection is closed.
+const DECLINED_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A request as received from the caller.
 #[derive(Debug)]
 pub(crate) struct Incoming {
@@ -64,6 +75,8 @@
     pub ended: bool,
     /// Id of the last event that was read, or that the caller had before.
     last_event_id: Option<u64>,
+    /// Bytes of events that were skipped since the last new one.
+    repeated_bytes: usize,
     connection: Connection,
     body: BodyReader,
     splitter: Splitter,
@@ -107,10 +120,16 @@
     /// Moves the complete events to `events`.
     fn split_events(&mut self) -> Result<(), Loss> {
         while let Some(event) = self.splitter.next().map_err(|_| Loss::EventTooLong)? {
-            if !event.is_known(self.last_event_id) {
-                self.last_event_id = event.id.or(self.last_event_id);
-                self.events.push(event);
+            if event.is_known(self.last_event_id) {
+                self.repeated_bytes += event.bytes.len();
+                if self.repeated_bytes > MAX_REPEATED_BYTES {
+                    return Err(Loss::Repeated);
+                }
+                continue;
             }
+            self.repeated_bytes = 0;
+            self.last_event_id = event.id.or(self.last_event_id);
+            self.events.push(event);
         }
         Ok(())
     }
@@ -174,7 +193,8 @@
     }
     if declined {
         let status = head.status;
-        if connection.read_body(head.framing, MAX_BODY_BYTES).await.is_ok() {
+        let body = connection.read_body(head.framing, MAX_DECLINED_BODY_BYTES);
+        if matches!(within(DECLINED_BODY_TIMEOUT, body).await, Some(Ok(_))) {
             return_connection(shell, attempt, connection, &head);
         }
         return Err(End::Declined { status });
@@ -199,6 +219,7 @@
             events: Vec::new(),
             ended: false,
             last_event_id,
+            repeated_bytes: 0,
             connection,
             splitter: Splitter::open(last_event_id.is_some()),
         });
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -449,6 +449,7 @@
 #[case::declined(Flood::Declined)]
 fn bookings_are_served_beside_responses_without_end(#[case] flood: Flood) {
     let deployment = Deployment::start();
+    deployment.wait_for_two_groups();
     let ids: Vec<String> = (0..ENDLESS_RESPONSES).map(|number| format!("f{number}-0")).collect();
     let callers: Vec<_> =
         ids.iter().map(|id| deployment.request_in_background(id, Kind::Endless(flood))).collect();
@@ -465,5 +466,7 @@
         let status = exchange.reply.map(|reply| reply.status);
         assert_ne!(status, Some(200), "a response without end looks complete");
     }
+    let tried_again = ids.iter().any(|id| deployment.run_count(id) > 1);
+    assert!(tried_again, "the responses are given up at the deadline only");
     deployment.check_run_counts();
 }
