Bodies share a budget of memory

A body has a limit (16 MiB for a response, 4 MiB for a request by default, 16 MiB for a call), their number has none: 26 responses without end of one engine could hold 416 MB in an entry daemon on a VM of 160 MB, and end it with all its requests.

All request bodies of an entry daemon share 32 MiB, all response bodies and unfinished events 32 MiB, all calls of a control daemon 48 MiB. What finds no memory is refused (503 no_memory, not run, with a time to retry), ends its attempt (lost.no_memory), or is answered with 503. A call that can't be read is counted and logged (207), before it was answered with 400 in silence.

--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -96,6 +96,8 @@
     HeadTooLong,
     /// The request body is longer than the limit.
     BodyTooLong,
+    /// The request bodies that the daemon holds leave no memory for this one.
+    NoMemory,
     /// No endpoint serves the service and model of the request, or none could be reached.
     NoEndpoint,
     /// All endpoints are full, and so is the queue.
@@ -122,7 +124,7 @@
     pub fn status(self) -> u16 {
         match self {
             Reason::Starting | Reason::Outdated | Reason::Stopping | Reason::NoEndpoint => 503,
-            Reason::Declined | Reason::Crashing | Reason::Paused => 503,
+            Reason::Declined | Reason::Crashing | Reason::Paused | Reason::NoMemory => 503,
             Reason::QueueFull | Reason::Limited | Reason::TooLate => 429,
             Reason::NoRoute => 404,
             Reason::Unauthorized => 401,
@@ -187,6 +189,8 @@
     InterimTooLong,
     /// The body is longer than the limit.
     BodyTooLong,
+    /// The bodies that the daemon holds leave no memory for this one.
+    NoMemory,
     /// The trailer fields are longer than the limit.
     TrailerTooLong,
     /// The chunk sizes and extensions are longer than the limit.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,8 +21,9 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
-use crate::http::{accept_all, within, Connection, RequestHead};
+use crate::http::{accept_all, within, Connection, Error as HttpError, RequestHead};
 use crate::links::{Event as LinkEvent, Links};
+use crate::memory::Budget;
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::protocol::{Call, Protocol};
 use crate::writer::Writer;
@@ -41,6 +42,9 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Longest body of a call; a longer one is answered with status 400.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Bytes of the bodies of calls that are held at the same time; a further call is answered with
+/// status 503.
+const MAX_CALL_BYTES: usize = 48 << 20;
 /// Time for the reducer to answer an operator's call; after that the call is answered with status
 /// 503.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3500);
@@ -96,6 +100,8 @@
     /// Writes the control log.
     writer: Writer,
     meter: Meter,
+    /// Memory for the bodies of calls.
+    call_memory: Budget,
     /// Channels to the tasks that wait for the answer to an operator's call, by the ticket of the
     /// call.
     pending_answers: RefCell<HashMap<u64, Sender<Answer>>>,
@@ -145,6 +151,7 @@
         links: RefCell::new(None),
         writer,
         meter: Meter::open("control"),
+        call_memory: Budget::open(MAX_CALL_BYTES),
         pending_answers: RefCell::default(),
         next_ticket: Cell::new(1),
         executor: executor.clone(),
@@ -279,14 +286,20 @@
                     _ => return,
                 }
             }
+            let mut reservation = self.call_memory.reserve();
             let call = async {
-                let head = connection.read_request_head(MAX_HEAD_BYTES).await.ok()?;
-                let body = connection.read_body(head.framing, MAX_BODY_BYTES).await.ok()?;
-                Some((head, body))
+                let head = connection.read_request_head(MAX_HEAD_BYTES).await?;
+                let framing = head.framing;
+                let body = connection.read_body(framing, MAX_BODY_BYTES, &mut reservation).await?;
+                Ok((head, body))
             };
-            let Some(Some((head, body))) = within(CALL_TIMEOUT, call).await else {
-                connection.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").await.ok();
-                return;
+            let (head, body) = match within(CALL_TIMEOUT, call).await {
+                Some(Ok(call)) => call,
+                Some(Err(error)) => return self.refuse_unreadable(connection, &error).await,
+                None => {
+                    let error = HttpError::Malformed("the call is not complete in time");
+                    return self.refuse_unreadable(connection, &error).await;
+                }
             };
             let response = self.handle_call(&head, body.to_vec()).await;
             if connection.write(&response).await.is_err() || !head.keep_alive {
@@ -295,6 +308,22 @@
         }
     }
 
+    /// Answers a call that could not be read, and closes the connection. The caller may repeat it if
+    /// only memory for its body was missing.
+    async fn refuse_unreadable(&self, mut connection: Connection, error: &HttpError) {
+        self.meter.count("calls.unreadable");
+        let event = log_events::Event::new(207, "call unreadable", "control", error.to_string());
+        journal::write(&event);
+        let response = match error {
+            HttpError::Closed | HttpError::Broken(_) => return,
+            HttpError::NoMemory => {
+                response_bytes(503, "Connection: close\r\nRetry-After: 0.2\r\n", b"{}")
+            }
+            _ => response_bytes(400, "Connection: close\r\n", b"{}"),
+        };
+        connection.write(&response).await.ok();
+    }
+
     /// Executes a call and returns the response.
     async fn handle_call(self: &Rc<Self>, head: &RequestHead, body: Vec<u8>) -> Vec<u8> {
         let path = head.target.split('?').next().unwrap_or_default();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -28,6 +28,7 @@
 };
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
+use crate::memory::Budget;
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::protocol::Protocol;
 use crate::response::{parse_deadline, Response};
@@ -47,6 +48,13 @@
 /// Bytes of pipelined requests that are buffered while a request is served. Once that many
 /// have arrived, the connection is no longer read, and a disconnect of the caller is not noticed.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// Bytes of the request bodies that are held at the same time; a further request is refused.
+const MAX_REQUEST_BYTES: usize = 32 << 20;
+/// Bytes of the response bodies, and of events that have not arrived completely, that are held at
+/// the same time; a further response ends its attempt as lost.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Delay after which a caller may retry whose request body found no memory.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(200);
 /// Time after the start of a shutdown for which new requests are still accepted, because the
 /// platform's load balancer needs that long to notice that the daemon is not ready. If half of the
 /// grace period is shorter, that is used instead.
@@ -100,6 +108,10 @@
     links: RefCell<Option<Links>>,
     /// Idle connections to endpoints, for reuse.
     pub(crate) pool: Pool,
+    /// Memory for request bodies.
+    request_memory: Budget,
+    /// Memory for response bodies.
+    pub(crate) response_memory: Budget,
     meter: Meter,
     /// Number of the next request.
     next_id: Cell<u64>,
@@ -143,6 +155,8 @@
         handles: RefCell::default(),
         links: RefCell::new(None),
         pool: Pool::default(),
+        request_memory: Budget::open(MAX_REQUEST_BYTES),
+        response_memory: Budget::open(MAX_RESPONSE_BYTES),
         meter: Meter::open("entry"),
         next_id: Cell::new(1),
         close_idle: bounded(1),
@@ -434,6 +448,7 @@
         let reason = match error {
             Error::HeadTooLong | Error::TrailerTooLong => Reason::HeadTooLong,
             Error::BodyTooLong => Reason::BodyTooLong,
+            Error::NoMemory => Reason::NoMemory,
             Error::Malformed(_) | Error::ChunksTooLong | Error::CutInHead | Error::CutInBody => {
                 Reason::Malformed
             }
@@ -441,7 +456,8 @@
         };
         self.meter.count(&format!("refused.{reason}"));
         let mut response = Response::open(connection.stream.clone(), false);
-        response.send_refusal("", "", &Refusal { reason, retry_after: None }).await;
+        let retry_after = (reason == Reason::NoMemory).then_some(RETRY_AFTER_NO_MEMORY);
+        response.send_refusal("", "", &Refusal { reason, retry_after }).await;
     }
 
     /// Serves one request and returns whether the connection stays open.
@@ -455,7 +471,8 @@
         if head.headers.list_contains("expect", "100-continue") {
             connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.ok();
         }
-        let body = connection.read_body(head.framing, limits.body_bytes);
+        let mut reservation = self.request_memory.reserve();
+        let body = connection.read_body(head.framing, limits.body_bytes, &mut reservation);
         let body = match within(BODY_TIMEOUT, body).await {
             Some(Ok(body)) => body,
             Some(Err(error)) => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
     is_hop_by_hop, push_header, within, BodyReader, Connection, Error, Framing, RequestHead,
     ResponseHead,
 };
+use crate::memory::Reservation;
 use crate::protocol::Protocol;
 
 /// Longest head of an endpoint's response; a longer one ends the attempt as [`End::Lost`].
@@ -62,6 +63,8 @@
     pub head: ResponseHead,
     /// Complete body.
     pub body: Bytes,
+    /// Memory that the body holds.
+    _reservation: Reservation,
 }
 
 /// An event stream that an endpoint sends.
@@ -80,6 +83,8 @@
     connection: Connection,
     body: BodyReader,
     splitter: Splitter,
+    /// Memory that the event holds which has not arrived completely.
+    reservation: Reservation,
 }
 
 impl EventStream {
@@ -105,6 +110,9 @@
                     shell.record_progress(target);
                     self.splitter.push(&part);
                     self.split_events().map_err(End::Lost)?;
+                    if !self.reservation.resize(self.splitter.unfinished_bytes()) {
+                        return Err(End::Lost(Loss::NoMemory));
+                    }
                 }
                 None => {
                     let unfinished_bytes = self.splitter.unfinished_bytes();
@@ -174,6 +182,7 @@
 where
     Platform: Protocol,
 {
+    let mut reservation = shell.response_memory.reserve();
     let connection = shell.pool.connect(&attempt.address).await;
     let mut connection = connection.ok_or(End::Unreachable)?;
     // The pause may have begun while the connection was being established.
@@ -193,7 +202,7 @@
     }
     if declined {
         let status = head.status;
-        let body = connection.read_body(head.framing, MAX_DECLINED_BODY_BYTES);
+        let body = connection.read_body(head.framing, MAX_DECLINED_BODY_BYTES, &mut reservation);
         if matches!(within(DECLINED_BODY_TIMEOUT, body).await, Some(Ok(_))) {
             return_connection(shell, attempt, connection, &head);
         }
@@ -222,14 +231,15 @@
             repeated_bytes: 0,
             connection,
             splitter: Splitter::open(last_event_id.is_some()),
+            reservation,
         });
         stream.fill(shell, &incoming.request_id, &attempt.target).await?;
         return Ok(Reply::Stream(stream));
     }
-    let body = connection.read_body(head.framing, MAX_BODY_BYTES).await;
+    let body = connection.read_body(head.framing, MAX_BODY_BYTES, &mut reservation).await;
     let body = body.map_err(loss_of)?;
     return_connection(shell, attempt, connection, &head);
-    let message = Message { head, body };
+    let message = Message { head, body, _reservation: reservation };
     Ok(if success { Reply::Complete(message) } else { Reply::Error(message) })
 }
 
@@ -246,6 +256,7 @@
         Error::TrailerTooLong => Loss::TrailerTooLong,
         Error::ChunksTooLong => Loss::ChunksTooLong,
         Error::BodyTooLong => Loss::BodyTooLong,
+        Error::NoMemory => Loss::NoMemory,
     })
 }
 
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -21,6 +21,8 @@
 use self::body::Step;
 use self::head::{parse_request_head, parse_response_head};
 
+use crate::memory::Reservation;
+
 pub use self::body::BodyReader;
 pub use self::head::{is_hop_by_hop, Framing, Header, Headers, RequestHead, ResponseHead};
 
@@ -58,6 +60,8 @@
     ChunksTooLong,
     /// the body exceeds its size limit
     BodyTooLong,
+    /// the bodies that are held exceed the memory for them
+    NoMemory,
 }
 
 impl std::error::Error for Error {}
@@ -176,12 +180,18 @@
         }
     }
 
-    /// Reads a complete body of at most `max_bytes`.
+    /// Reads a complete body of at most `max_bytes`, which `reservation` holds.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is truncated, malformed or too long.
-    pub async fn read_body(&mut self, framing: Framing, max_bytes: usize) -> Result<Bytes, Error> {
+    /// Returns an error if the body is truncated, malformed or too long, or if its bytes can't be
+    /// reserved.
+    pub async fn read_body(
+        &mut self,
+        framing: Framing,
+        max_bytes: usize,
+        reservation: &mut Reservation,
+    ) -> Result<Bytes, Error> {
         if matches!(framing, Framing::Length(length) if length > max_bytes as u64) {
             return Err(Error::BodyTooLong);
         }
@@ -191,6 +201,9 @@
             if complete.len() + part.len() > max_bytes {
                 return Err(Error::BodyTooLong);
             }
+            if !reservation.resize(complete.len() + part.len()) {
+                return Err(Error::NoMemory);
+            }
             complete.extend_from_slice(&part);
         }
         Ok(complete.freeze())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod journal;
 pub mod links;
+pub mod memory;
 pub mod metrics;
 pub mod protocol;
 pub mod signals;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -9,6 +9,7 @@
 use smol::net::TcpStream;
 
 use crate::http::{within, Connection};
+use crate::memory::Budget;
 use crate::protocol::Protocol;
 
 /// Time for the response to an order; after that the order counts as unanswered.
@@ -119,6 +120,7 @@
     connection.write(&bytes).await.map_err(|_| Failure::NoResponse)?;
     let response_head = connection.read_response_head(method, MAX_HEAD_BYTES).await;
     let response_head = response_head.map_err(|_| Failure::NoResponse)?;
-    let body = connection.read_body(response_head.framing, MAX_BODY_BYTES).await;
+    let mut reservation = Budget::open(MAX_BODY_BYTES).reserve();
+    let body = connection.read_body(response_head.framing, MAX_BODY_BYTES, &mut reservation).await;
     Ok(Response { status: response_head.status, body: body.map_err(|_| Failure::NoResponse)? })
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -311,7 +311,7 @@
 
     /// Sends a response whose body has been read completely.
     async fn send_complete(&mut self, message: &Message) {
-        let Message { head, body } = message;
+        let Message { head, body, .. } = message;
         let mut bytes = encode_head(head, Framing::Length(body.len() as u64), self.keep_alive);
         bytes.extend_from_slice(body);
         self.send(&bytes).await;
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -1,10 +1,16 @@
 //! Framing of HTTP messages over real sockets.
 
 use dotterelhoist_gateway::http::{BodyReader, Connection, Error, Framing};
+use dotterelhoist_gateway::memory::{Budget, Reservation};
 use futures_lite::AsyncWriteExt;
 use rstest::rstest;
 use smol::net::{TcpListener, TcpStream};
 
+/// Memory for a body of any length.
+fn unlimited() -> Reservation {
+    Budget::open(usize::MAX).reserve()
+}
+
 /// A connection on which the other side has sent `bytes`. If `open` is set, the other end is
 /// returned too and keeps the connection open; otherwise it is closed after the bytes.
 async fn connection_with(bytes: &[u8], open: bool) -> (Connection, Option<TcpStream>) {
@@ -51,7 +57,10 @@
         let (mut connection, _open) =
             connection_with(format!("{first}{second}").as_bytes(), true).await;
         let head = connection.read_request_head(8192).await.expect("the first is well formed");
-        let body = connection.read_body(head.framing, 100).await.expect("its body is complete");
+        let body = connection
+            .read_body(head.framing, 100, &mut unlimited())
+            .await
+            .expect("its body is complete");
         assert_eq!((&*head.target, &*body), ("/1", b"abc".as_slice()));
         let head = connection.read_request_head(8192).await.expect("the second is well formed");
         assert_eq!(&*head.target, "/2");
@@ -92,7 +101,7 @@
         let (mut connection, _open) = connection_with(bytes.as_bytes(), open).await;
         let head =
             connection.read_response_head("GET", 8192).await.expect("the head is well formed");
-        let body = connection.read_body(head.framing, 100).await;
+        let body = connection.read_body(head.framing, 100, &mut unlimited()).await;
         match expected {
             Some(expected) => {
                 assert_eq!(&*body.expect("the body is complete"), expected.as_bytes())
@@ -102,6 +111,21 @@
     });
 }
 
+#[test]
+fn response_whose_connection_is_reset_is_not_complete() {
+    smol::block_on(async {
+        let bytes = b"HTTP/1.1 200 OK\r\n\r\nhello";
+        let (mut connection, sender) = connection_with(bytes, true).await;
+        let head = connection.read_response_head("GET", 8192).await.expect("a valid head");
+        let sender = sender.expect("the connection is open");
+        rustix::net::sockopt::set_socket_linger(&sender, Some(std::time::Duration::ZERO))
+            .expect("the option is supported");
+        drop(sender);
+        let body = connection.read_body(head.framing, 100, &mut unlimited()).await;
+        assert!(matches!(body, Err(Error::Broken(_))), "{body:?}");
+    });
+}
+
 #[test]
 fn response_interim_is_skipped() {
     smol::block_on(async {
@@ -128,7 +152,7 @@
     let stream = TcpStream::connect(address).await.expect("the listener accepts connections");
     let mut connection = Connection::open(stream);
     let head = connection.read_response_head("POST", 8192).await?;
-    let body = connection.read_body(head.framing, FLOOD_BYTES * 2).await;
+    let body = connection.read_body(head.framing, FLOOD_BYTES * 2, &mut unlimited()).await;
     drop(connection);
     send.await;
     body
@@ -159,6 +183,26 @@
     assert!(error.starts_with(expected), "{error}");
 }
 
+#[test]
+fn body_beyond_the_memory_that_others_leave_is_an_error() {
+    smol::block_on(async {
+        let budget = Budget::open(1000);
+        let mut other = budget.reserve();
+        assert!(other.resize(600));
+        let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{}", "x".repeat(500));
+        for (is_held, expected) in [(true, false), (false, true)] {
+            if !is_held {
+                other.resize(0);
+            }
+            let (mut connection, _open) = connection_with(bytes.as_bytes(), true).await;
+            let head = connection.read_response_head("GET", 8192).await.expect("a valid head");
+            let mut reservation = budget.reserve();
+            let body = connection.read_body(head.framing, 1000, &mut reservation).await;
+            assert_eq!(body.is_ok(), expected, "{body:?}");
+        }
+    });
+}
+
 #[test]
 fn body_in_chunks_of_one_byte_is_complete() {
     let start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -14,7 +14,7 @@
 use tempfile::TempDir;
 
 use crate::cuts::Cuts;
-use crate::engine::{Engine, Handle, Limit, Rest, Runs, Silence};
+use crate::engine::{unlimited, Engine, Handle, Limit, Rest, Runs, Silence};
 use crate::floods::Flood;
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
@@ -464,7 +464,7 @@
             connection.write(bytes.as_bytes()).await.ok()?;
             let head = connection.read_response_head("POST", 16 << 10).await.ok()?;
             smol::Timer::after(pause).await;
-            let body = connection.read_body(head.framing, MAX_BODY_BYTES).await;
+            let body = connection.read_body(head.framing, MAX_BODY_BYTES, &mut unlimited()).await;
             Some((head.status, body.ok().map(|body| body.len())))
         };
         smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
@@ -577,7 +577,7 @@
 async fn exchange(connection: &mut Connection, method: &str, bytes: &str) -> Option<Reply> {
     connection.write(bytes.as_bytes()).await.ok()?;
     let head = connection.read_response_head(method, 16 << 10).await.ok()?;
-    let body = connection.read_body(head.framing, MAX_BODY_BYTES).await.ok()?;
+    let body = connection.read_body(head.framing, MAX_BODY_BYTES, &mut unlimited()).await.ok()?;
     Some(Reply {
         status: head.status,
         id: head.headers.find("dotterelhoist-request-id").map(str::to_owned),
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use dotterelhoist_gateway::http::{Connection, RequestHead};
+use dotterelhoist_gateway::memory::{Budget, Reservation};
 use serde_json::{json, Value};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
@@ -196,7 +197,7 @@
         let mut connection = Connection::open(stream);
         loop {
             let head = connection.read_request_head(16 << 10).await.ok()?;
-            let body = connection.read_body(head.framing, 1 << 20).await.ok()?;
+            let body = connection.read_body(head.framing, 1 << 20, &mut unlimited()).await.ok()?;
             match &*head.target {
                 "/order" => {
                     let status = apply_order(shared, &serde_json::from_slice(&body).ok()?);
@@ -310,6 +311,11 @@
     }
 }
 
+/// Memory for a body of any length.
+pub fn unlimited() -> Reservation {
+    Budget::open(usize::MAX).reserve()
+}
+
 /// Text of the event with this number.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece\n\n")
