Bound the first frame on a link between daemons

Whoever connects to the port for links may state a first frame of 256 MiB, and a daemon waits for it with the buffer reserved. The first frame says who the peer is, and may now have 64 KiB.

--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -97,7 +97,7 @@
     /// late, missing or malformed is closed without a report to the reactor.
     async fn run_connection(self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
-        let mut reader: Connection<TcpStream> = Connection::open(stream.clone());
+        let mut reader: Connection<TcpStream> = Connection::accept(stream.clone());
         let mut writer: Connection<TcpStream> = Connection::open(stream);
         let peer_sent_ms = Arc::new(AtomicU64::new(0));
         let hello = frame(Body::Hello(self.hello.clone()), &peer_sent_ms);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -174,7 +174,7 @@
     /// daemons; to control daemons, they are sent on the connections that this daemon opens.
     async fn run_incoming(self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
-        let mut reader = Connection::open(stream.clone());
+        let mut reader = Connection::accept(stream.clone());
         let mut writer = Connection::open(stream);
         let first = within(HELLO_TIMEOUT, reader.receive()).await;
         let Some(Ok(Some(Frame { body: Some(Body::Hello(hello)) }))) = first else { return };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,8 @@
 /// Longest frame that is sent or accepted; a longer one is an error. A snapshot must fit into one
 /// frame.
 pub const MAX_FRAME_BYTES: usize = 256 << 20;
+/// Longest first frame of a peer that has not said who it is.
+pub const MAX_FIRST_FRAME_BYTES: usize = 64 << 10;
 /// Length of the header in front of each frame, which holds the length of the frame.
 pub const HEADER_BYTES: usize = 4;
 
@@ -65,6 +67,14 @@
         }
     }
 
+    /// Like [`open`](Connection::open), for the stream of a peer that has not said who it is: its
+    /// first frame may have [`MAX_FIRST_FRAME_BYTES`].
+    pub fn accept(inner: Inner) -> Connection<Inner, Item> {
+        let mut connection = Connection::open(inner);
+        connection.framed.codec_mut().set_max_frame_length(MAX_FIRST_FRAME_BYTES);
+        connection
+    }
+
     /// Adds a frame to the send buffer. It is sent by the next [`flush`](Connection::flush) at the
     /// latest.
     ///
@@ -98,7 +108,11 @@
     pub async fn receive(&mut self) -> Result<Option<Item>, Error> {
         match self.framed.next().await {
             None => Ok(None),
-            Some(bytes) => decode(&bytes?).map(Some),
+            Some(bytes) => {
+                let item = decode(&bytes?)?;
+                self.framed.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
+                Ok(Some(item))
+            }
         }
     }
 }
