Events that are read whole may have broken off too

What callers saw: a body of events on a route that is no stream, ended inside an event by its connection, last chunk or length, is answered with 200 and a Content-Length. It is now lost (cut_in_event) like a stream, and the type of the body is compared without regard to case and parameters. Without the check, three of the four cases of booking_whose_body_ends_inside_an_event_is_refused fail.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,6 +8,8 @@
 use displaydoc::Display;
 use memchr::memchr2;
 
+/// Bytes of a complete body that are searched for events at a time.
+const PART_BYTES: usize = 64 << 10;
 /// Longest event, up to its empty line. A stream with a longer one is not forwarded further.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Byte order mark in UTF-8, which may stand at the beginning of a stream.
@@ -192,6 +194,23 @@
     }
 }
 
+/// Whether a stream that is over ends inside an event, so that it has broken off.
+///
+/// ```
+/// use dotterelhoist_gateway::events::ends_inside_event;
+///
+/// assert!(ends_inside_event(b"data: x\n\ndata: y\n"));
+/// assert!(!ends_inside_event(b"data: x\n\n"));
+/// ```
+pub fn ends_inside_event(stream: &[u8]) -> bool {
+    let mut splitter = Splitter::open(false);
+    for part in stream.chunks(PART_BYTES) {
+        splitter.push(part);
+        while let Ok(Some(_)) = splitter.next() {}
+    }
+    splitter.is_inside_event()
+}
+
 /// Value of the last `id` field of an event; none if there is no such field or the value is not a
 /// number.
 fn event_id(bytes: &[u8]) -> Option<u64> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,10 +10,10 @@
 
 use crate::clock;
 use crate::entry::Shell;
-use crate::events::{Event, Splitter};
+use crate::events::{ends_inside_event, Event, Splitter};
 use crate::http::{
-    is_hop_by_hop, push_header, within, BodyReader, Connection, Error, Framing, RequestHead,
-    ResponseHead,
+    is_hop_by_hop, push_header, within, BodyReader, Connection, Error, Framing, Headers,
+    RequestHead, ResponseHead,
 };
 use crate::memory::Reservation;
 use crate::protocol::Protocol;
@@ -218,10 +218,8 @@
         return Err(End::Lost(Loss::Encoded));
     }
     let success = (200..300).contains(&head.status);
-    let is_event_stream = headers.find("content-type").is_some_and(|kind| {
-        kind.starts_with("text/event-stream") && attempt.route.kind == Kind::Streaming
-    });
-    if success && is_event_stream {
+    let has_events = is_event_stream(headers);
+    if success && has_events && attempt.route.kind == Kind::Streaming {
         let mut stream = Box::new(EventStream {
             body: BodyReader::new(head.framing),
             head,
@@ -238,11 +236,21 @@
     }
     let body = connection.read_body(head.framing, MAX_BODY_BYTES, &mut reservation).await;
     let body = body.map_err(loss_of)?;
+    if has_events && ends_inside_event(&body) {
+        return Err(End::Lost(Loss::CutInEvent));
+    }
     return_connection(shell, attempt, connection, &head);
     let message = Message { head, body, _reservation: reservation };
     Ok(if success { Reply::Complete(message) } else { Reply::Error(message) })
 }
 
+/// Whether the body of a response is a stream of events.
+fn is_event_stream(headers: &Headers) -> bool {
+    let kind = headers.find("content-type").unwrap_or_default();
+    let kind = kind.split(';').next().unwrap_or_default().trim();
+    kind.eq_ignore_ascii_case("text/event-stream")
+}
+
 /// How an attempt has ended whose response could not be read.
 fn loss_of(error: Error) -> End {
     End::Lost(match error {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -470,3 +470,21 @@
     assert!(tried_again, "the responses are given up at the deadline only");
     deployment.check_run_counts();
 }
+
+/// An endpoint of a route without streams ends a body of events inside one: it has broken off.
+#[rstest]
+#[case::connection(Framing::Connection, "id: 3\ndata: pi", 502)]
+#[case::chunks(Framing::Chunks, "id: 3\ndata: piece\n", 502)]
+#[case::length(Framing::Length, "id: 3\n", 502)]
+#[case::whole(Framing::Connection, "", 200)]
+fn booking_whose_body_ends_inside_an_event_is_refused(
+    #[case] framing: Framing,
+    #[case] rest: &'static str,
+    #[case] status: u16,
+) {
+    let deployment = Deployment::start();
+    deployment.cuts.plan("a1", [Cut { framing, last_event: 2, rest }]);
+    let reply = deployment.book("a1").expect("a complete response");
+    assert_eq!(reply.status, status, "{}", reply.body);
+    deployment.check_run_counts();
+}
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -251,6 +251,10 @@
         let common_headers =
             format!("Dotterelhoist-Request-Id: {id}\r\nDotterelhoist-Response-Seal: s.{id}");
         if self.service == "desk" {
+            if let Some(cut) = self.cuts.next(&id) {
+                send_cut(connection, &common_headers, cut, 0).await;
+                return None;
+            }
             self.silence.wait(&self.id, &id, 0).await;
             let limit = self.limit.lock().ok().and_then(|limit| *limit);
             let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
