A stream is not resumed after data without an id

Found by the question what an empty id means. The reducer is now told, and neither resumes such a stream nor runs a second attempt beside it: the caller sees the truncation and may resume as it likes. Comments and events without data don't count. stream_is_cut_rather_than_resumed_after_data_ without_an_id failed before: events 3 to 5 followed.

--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -156,7 +156,7 @@
         let patience = if self.response_begun { CONTINUATION_DELAY } else { Duration::ZERO };
         self.hedge.is_none()
             && !self.promoted
-            && self.route.is_retryable()
+            && self.is_retryable()
             && self.attempts < self.route.max_attempts
             && self.tried.len() < TRIED_ENDPOINTS_MAX
             && self.deadline.since(now) > REMAINING_TIME_MIN
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -73,10 +73,19 @@
     pub(super) response_begun: bool,
     /// Whether the shell is writing to the caller, so that it does not read from the endpoint.
     pub(super) writing: bool,
+    /// Whether the caller has a part of the response that another attempt would send again.
+    pub(super) unresumable: bool,
     /// Whether an earlier attempt may have run it.
     pub(super) may_have_run: bool,
 }
 
+impl Active {
+    /// Whether another attempt may start or continue the response.
+    pub(super) fn is_retryable(&self) -> bool {
+        self.route.is_retryable() && !self.unresumable
+    }
+}
+
 impl<Decoder> State<Decoder>
 where
     Decoder: Reader,
@@ -125,6 +134,7 @@
             begun: false,
             response_begun: false,
             writing: false,
+            unresumable: false,
             may_have_run: false,
             request,
         };
@@ -278,6 +288,13 @@
         }
     }
 
+    /// Records that the caller of a request has been sent an event with data and without an id, which
+    /// an endpoint that resumes the stream would send again.
+    pub fn record_event_without_id(&mut self, id: u64) {
+        let Some(active) = self.requests.get_mut(&id) else { return };
+        active.unresumable = true;
+    }
+
     /// Records the end of an attempt with its endpoint and decides what follows.
     pub(super) fn end_attempt(
         &mut self,
@@ -344,7 +361,7 @@
     /// Decides after the end of an attempt whether its request is done, retried or refused.
     fn decide_next_step(&mut self, now: Instant, id: u64, end: End, effects: &mut Vec<Effect>) {
         let Some(active) = self.requests.get_mut(&id) else { return };
-        let retryable = active.route.is_retryable();
+        let retryable = active.is_retryable();
         match end {
             End::Answered => {
                 let Some(active) = self.requests.remove(&id) else { return };
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -362,6 +362,11 @@
         self.state.borrow_mut().record_response_start(id);
     }
 
+    /// Records that the caller of this request is sent an event with data and without an id.
+    pub(crate) fn record_event_without_id(&self, id: u64) {
+        self.state.borrow_mut().record_event_without_id(id);
+    }
+
     /// Records that a write to the caller of this request has started or ended.
     pub(crate) fn record_write(&self, id: u64, in_progress: bool) {
         self.state.borrow_mut().record_write(id, in_progress, clock::now());
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -54,6 +54,8 @@
     pub bytes: Bytes,
     /// Value of its `id` field; none if the event has no `id` or it is not a number.
     pub id: Option<u64>,
+    /// Whether it has a `data` field, so that the caller's program gets it.
+    pub has_data: bool,
 }
 
 /// Why a stream can't be split.
@@ -66,6 +68,18 @@
 impl std::error::Error for Error {}
 
 impl Event {
+    /// Reads the fields of an event.
+    fn parse(bytes: Bytes) -> Event {
+        let id = event_id(&bytes);
+        let has_data = fields(&bytes, b"data").next().is_some();
+        Event { bytes, id, has_data }
+    }
+
+    /// Bytes after the last event of a stream, which are none.
+    pub(crate) fn rest(bytes: Bytes) -> Event {
+        Event { bytes, id: None, has_data: false }
+    }
+
     /// Whether the caller has this event, if `last` is the id of the last one that it got.
     pub fn is_known(&self, last: Option<u64>) -> bool {
         self.id.is_some() && self.id <= last
@@ -189,8 +203,7 @@
         self.line_start = 0;
         self.searched = 0;
         self.has_field = false;
-        let id = event_id(&bytes);
-        Ok(Event { bytes, id })
+        Ok(Event::parse(bytes))
     }
 }
 
@@ -214,10 +227,15 @@
 /// Value of the last `id` field of an event; none if there is no such field or the value is not a
 /// number.
 fn event_id(bytes: &[u8]) -> Option<u64> {
+    let value = fields(bytes, b"id").next_back()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
+/// Values of the fields `name` of an event.
+fn fields<'a>(bytes: &'a [u8], name: &'a [u8]) -> impl DoubleEndedIterator<Item = &'a [u8]> {
     let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
     let lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
-    let value = lines.filter_map(|line| field_value(line, b"id")).next_back()?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
+    lines.filter_map(move |line| field_value(line, name))
 }
 
 /// Value in the line if it is the field `name`; empty for a line without a colon.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -152,7 +152,7 @@
         self.ended = true;
         let rest = self.splitter.take_rest();
         if !rest.is_empty() {
-            self.events.push(Event { bytes: rest, id: None });
+            self.events.push(Event::rest(rest));
         }
         Ok(())
     }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -233,6 +233,9 @@
         Platform: Protocol,
     {
         loop {
+            if stream.events.iter().any(|event| event.has_data && event.id.is_none()) {
+                shell.record_event_without_id(incoming.id);
+            }
             let bytes = self.encode_events(&mut stream);
             if !bytes.is_empty() {
                 shell.record_response_start(incoming.id);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -488,3 +488,28 @@
     assert_eq!(reply.status, status, "{}", reply.body);
     deployment.check_run_counts();
 }
+
+/// The engine sends data without an id, which a resumed stream would repeat, before it breaks off.
+#[test]
+fn stream_is_cut_rather_than_resumed_after_data_without_an_id() {
+    let deployment = Deployment::start();
+    deployment.wait_for_two_groups();
+    let rest = "data: x\n\nid: 3\nda";
+    deployment.cuts.plan("s0", [Cut { framing: Framing::Chunks, last_event: 2, rest }]);
+    let received = deployment.receive("s0").expect("a response");
+    let body = events(1..=2) + "data: x\n\n";
+    assert_eq!(received, Received { status: 200, body, end: BodyEnd::Cut });
+    assert_eq!(deployment.run_count("s0"), 1);
+}
+
+/// The engine sends a comment before it breaks off: nothing would be repeated.
+#[test]
+fn stream_is_resumed_after_a_comment_without_an_id() {
+    let deployment = Deployment::start();
+    deployment.wait_for_two_groups();
+    let rest = ": ping\n\nid: 3\nda";
+    deployment.cuts.plan("s0", [Cut { framing: Framing::Chunks, last_event: 2, rest }]);
+    let received = deployment.receive("s0").expect("a response");
+    let body = events(1..=2) + ": ping\n\n" + &events(3..=5);
+    assert_eq!(received, Received { status: 200, body, end: BodyEnd::Framed });
+}
