Tests: requests without end beside bookings and documents

Three connections that send a head, trailer fields or one-byte chunks without end, to an entry or a control daemon; 40 bookings beside them are served, a document is put, and the daemon closes the connections.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,7 +7,9 @@
 use rstest::rstest;
 
 use self::cuts::{Cut, Framing};
-use self::deployment::{BodyEnd, Call, Caller, Deployment, Exchange, Kind, Received, Reply};
+use self::deployment::{
+    BodyEnd, Call, Caller, Deployment, Exchange, Kind, Received, Receiver, Reply,
+};
 use self::floods::Flood;
 
 #[path = "platform/cuts.rs"]
@@ -36,8 +38,14 @@
 const MAX_BODY_BYTES: usize = 100;
 /// Number of events of a stream that lasts longer than a stopping entry daemon accepts requests.
 const STREAM_EVENTS_BEYOND_STOP: u64 = 95;
-/// Number of responses without end that are sent at the same time.
-const ENDLESS_RESPONSES: usize = 3;
+/// Beginning of a call whose body never ends.
+const CHUNKED_CALL: &str =
+    "POST /Instances.Heartbeat/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Beginning of a booking whose trailer section never ends.
+const CHUNKED_BOOKING: &str =
+    "POST /book/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+/// Number of requests or responses without end that are sent at the same time.
+const ENDLESS_MESSAGES: usize = 3;
 /// Time within which a deployment must recover from a failure.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -450,7 +458,7 @@
 fn bookings_are_served_beside_responses_without_end(#[case] flood: Flood) {
     let deployment = Deployment::start();
     deployment.wait_for_two_groups();
-    let ids: Vec<String> = (0..ENDLESS_RESPONSES).map(|number| format!("f{number}-0")).collect();
+    let ids: Vec<String> = (0..ENDLESS_MESSAGES).map(|number| format!("f{number}-0")).collect();
     let callers: Vec<_> =
         ids.iter().map(|id| deployment.request_in_background(id, Kind::Endless(flood))).collect();
     let all_run = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
@@ -513,3 +521,30 @@
     let body = events(1..=2) + ": ping\n\n" + &events(3..=5);
     assert_eq!(received, Received { status: 200, body, end: BodyEnd::Framed });
 }
+
+/// Callers, endpoints or operators send requests without end: all others must be served meanwhile,
+/// documents put, and the connections closed.
+#[rstest]
+#[case::head_to_entry(Receiver::Entry, "POST /book/x HTTP/1.1\r\nX: ", "x")]
+#[case::trailers_to_entry(Receiver::Entry, CHUNKED_BOOKING, "X: y\r\n")]
+#[case::chunks_to_entry(Receiver::Entry, CHUNKED_CALL, "1\r\nx\r\n")]
+#[case::trailers_to_control(Receiver::Control, CHUNKED_BOOKING, "X: y\r\n")]
+#[case::chunks_to_control(Receiver::Control, CHUNKED_CALL, "1\r\nx\r\n")]
+fn bookings_are_served_beside_requests_without_end(
+    #[case] receiver: Receiver,
+    #[case] start: &str,
+    #[case] part: &str,
+) {
+    let deployment = Deployment::start();
+    let floods: Vec<_> =
+        (0..ENDLESS_MESSAGES).map(|_| deployment.flood(receiver, start, part)).collect();
+    for number in 0..REQUESTS {
+        let reply = deployment.book(&format!("b{number}-1"));
+        assert_eq!(reply.map(|reply| reply.status), Some(200), "booking {number}");
+    }
+    deployment.put(8);
+    for flood in floods {
+        flood.join().expect("the sender's thread does not panic");
+    }
+    assert_eq!(deployment.read_version(), Some(8));
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -30,6 +30,8 @@
 const API_KEY: &str = "key-of-families";
 /// Longest body of a response.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Bytes that [`Deployment::flood`] sends at once, about.
+const FLOOD_PART_BYTES: usize = 32 << 10;
 /// Time after which a request without a complete response counts as failed.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after which a test fails if a deployment has not reached the expected state.
@@ -72,6 +74,15 @@
     pub end: BodyEnd,
 }
 
+/// Daemon that receives a flood.
+#[derive(Clone, Copy, Debug)]
+pub enum Receiver {
+    /// The entry daemon, on the port for callers.
+    Entry,
+    /// A control daemon, on the port for endpoints and operators.
+    Control,
+}
+
 /// Kind of a request of [`Deployment::request_in_background`].
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
@@ -346,6 +357,27 @@
         smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
     }
 
+    /// Sends `start`, and then `part` again and again, to a daemon from another thread until the daemon
+    /// closes the connection.
+    pub fn flood(&self, receiver: Receiver, start: &str, part: &str) -> JoinHandle<()> {
+        let address = match receiver {
+            Receiver::Entry => self.entry_address(PORTS.callers),
+            Receiver::Control => self.control_addresses()[0],
+        };
+        let start = start.to_owned();
+        let parts = part.repeat(FLOOD_PART_BYTES / part.len());
+        std::thread::spawn(move || {
+            smol::block_on(async {
+                let stream = TcpStream::connect(address).await.expect("the daemon accepts");
+                let mut connection = Connection::open(stream);
+                let mut sent = connection.write(start.as_bytes()).await;
+                while sent.is_ok() {
+                    sent = connection.write(parts.as_bytes()).await;
+                }
+            });
+        })
+    }
+
     /// Waits until two groups serve the streaming route.
     pub fn wait_for_two_groups(&self) {
         let two_serve = self.poll(WAIT_TIMEOUT, |deployment| {
