The phase of an attempt in place of two flags

begun and promoted excluded each other; promoted meant 'sent beside another one, which has ended since'. One enum says the three states. No change of logic; tests of fleet pass.

--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -15,7 +15,7 @@
 use crate::journal;
 use crate::Name;
 
-use super::serving::{Active, REMAINING_TIME_MIN, TRIED_ENDPOINTS_MAX};
+use super::serving::{Active, Phase, REMAINING_TIME_MIN, TRIED_ENDPOINTS_MAX};
 use super::targets::{Choice, Silence};
 use super::{Decision, Effect, End, State};
 
@@ -79,7 +79,7 @@
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(second) = active.hedge.take() else { return };
         let Some(first) = active.endpoint.replace(second.clone()) else { return };
-        let begun = std::mem::take(&mut active.begun);
+        let begun = std::mem::take(&mut active.phase) == Phase::Begun;
         active.may_have_run = true;
         let request = &active.request;
         self.targets.record_end(&first, begun, request.prompt_tokens);
@@ -102,9 +102,10 @@
             End::Failed { .. } | End::Lost(_) => active.may_have_run = true,
             End::Unreachable | End::Withheld | End::Declined { .. } | End::Dropped => {}
         }
-        active.endpoint = active.hedge.take();
-        active.promoted = active.endpoint.is_some();
-        active.promoted
+        let Some(second) = active.hedge.take() else { return false };
+        active.endpoint = Some(second);
+        active.phase = Phase::Remaining;
+        true
     }
 
     /// Records the end of the second attempt, if any, of a request that has ended.
@@ -155,7 +156,7 @@
     fn may_be_hedged(&self, now: Instant, silence: &Silence) -> bool {
         let patience = if self.response_begun { CONTINUATION_DELAY } else { Duration::ZERO };
         self.hedge.is_none()
-            && !self.promoted
+            && self.phase != Phase::Remaining
             && self.is_retryable()
             && self.attempts < self.route.max_attempts
             && self.tried.len() < TRIED_ENDPOINTS_MAX
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -64,11 +64,8 @@
     pub(super) endpoint: Option<Name>,
     /// Endpoint of a second attempt that runs beside the current one; none while there is none.
     pub(super) hedge: Option<Name>,
-    /// Whether the current attempt began beside another one, which has ended since, and its response
-    /// has not begun.
-    pub(super) promoted: bool,
-    /// Whether the response of the current attempt has begun.
-    pub(super) begun: bool,
+    /// How far the current attempt has come.
+    pub(super) phase: Phase,
     /// Whether any part of a response has been sent to the caller.
     pub(super) response_begun: bool,
     /// Whether the shell is writing to the caller, so that it does not read from the endpoint.
@@ -79,6 +76,19 @@
     pub(super) may_have_run: bool,
 }
 
+/// How far the current attempt of a request has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It was sent as the current one, and no part of its response has arrived.
+    #[default]
+    Sent,
+    /// It was sent beside another one, which has ended since, and no part of its response has arrived.
+    /// No second attempt is made beside it.
+    Remaining,
+    /// Its response has begun.
+    Begun,
+}
+
 impl Active {
     /// Whether another attempt may start or continue the response.
     pub(super) fn is_retryable(&self) -> bool {
@@ -130,8 +140,7 @@
             tried: SmallVec::new(),
             endpoint: None,
             hedge: None,
-            promoted: false,
-            begun: false,
+            phase: Phase::Sent,
             response_begun: false,
             writing: false,
             unresumable: false,
@@ -208,8 +217,7 @@
         let Some(attempt) = self.start_attempt(now, id, &target) else { return };
         let Some(active) = self.requests.get_mut(&id) else { return };
         active.endpoint = Some(target);
-        active.promoted = false;
-        active.begun = false;
+        active.phase = Phase::Sent;
         effects.push(Effect::Decide(id, Decision::Send(attempt)));
     }
 
@@ -267,11 +275,10 @@
     /// Records that the response to a request has begun.
     pub fn record_response_start(&mut self, id: u64) {
         let Some(active) = self.requests.get_mut(&id) else { return };
-        if active.begun {
+        if active.phase == Phase::Begun {
             return;
         }
-        active.begun = true;
-        active.promoted = false;
+        active.phase = Phase::Begun;
         active.response_begun = true;
         if let Some(target) = &active.endpoint {
             self.targets.record_response_start(target, active.request.prompt_tokens);
@@ -305,7 +312,7 @@
     ) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         let Some(target) = active.endpoint.take() else { return };
-        let begun = std::mem::take(&mut active.begun);
+        let begun = std::mem::take(&mut active.phase) == Phase::Begun;
         self.record_outcome(now, id, &target, begun, &end, effects);
         if self.continue_with_hedge(id, &end) {
             self.send_queued(now, effects);
@@ -527,7 +534,11 @@
         let Some(active) = self.requests.remove(&id) else { return };
         self.queue.remove(&active.requirement, id);
         if let Some(target) = &active.endpoint {
-            self.targets.record_end(target, active.begun, active.request.prompt_tokens);
+            self.targets.record_end(
+                target,
+                active.phase == Phase::Begun,
+                active.request.prompt_tokens,
+            );
         }
         self.release_hedge(&active);
         self.send_queued(now, effects);
