--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,7 +18,6 @@
 use smol::channel::{bounded, Receiver, Sender};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::clock;
 use crate::exchange::Incoming;
@@ -31,11 +30,15 @@
 use crate::memory::Budget;
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::protocol::Protocol;
-use crate::response::{parse_deadline, Response};
+use crate::response::Response;
 use crate::upstream::Pool;
 
+use self::parsing::parse_request;
+
 pub use dotterelhoist_fleet::entry::Setup;
 
+mod parsing;
+
 /// Time between two [`Event::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Longest head of a readiness check by the load balancer; a connection with a longer one is
@@ -43,8 +46,6 @@
 const MAX_READINESS_HEAD_BYTES: usize = 8 << 10;
 /// Time for a request body to arrive after the head; after that the connection is closed.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time from the arrival of a request to its deadline if its headers state none.
-const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Bytes of pipelined requests that are buffered while a request is served. Once that many
 /// have arrived, the connection is no longer read, and a disconnect of the caller is not noticed.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
@@ -65,9 +66,6 @@
 /// A shutdown stops waiting for requests this long before the end of the grace period, and cuts off
 /// those that still run.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
-/// Number of tokens that a request is expected to generate if it carries no estimate, as a fraction
-/// of its token limit.
-const EXPECTED_OUTPUT_FRACTION: f64 = 0.5;
 
 /// Configuration of an entry daemon.
 #[derive(Clone, Debug)]
@@ -494,16 +492,16 @@
         let request = parse_request::<Platform>(id, &head, &body, started_at);
         let keep_alive = head.keep_alive && !self.state.borrow().is_stopping();
         let incoming = Incoming { id, request_id: request.request_id.clone(), head, body };
-        let mut response = Response::open(connection.stream.clone(), keep_alive);
         if self.refuses_requests.get() {
             let refusal =
                 Refusal { reason: Reason::Stopping, retry_after: Some(Duration::from_millis(50)) };
-            response.keep_alive = false;
+            let mut response = Response::open(connection.stream.clone(), false);
             response
                 .send_refusal(Platform::HEADERS.request_id, &incoming.request_id, &refusal)
                 .await;
             return false;
         }
+        let mut response = Response::open(connection.stream.clone(), keep_alive);
         let handling = async {
             self.run_request(&mut response, &incoming, request).await;
             true
@@ -516,7 +514,7 @@
             return false;
         }
         self.meter.record_latency("request", clock::now().since(started_at));
-        response.keep_alive
+        response.keep_alive()
     }
 
     /// Passes a request to the reducer and carries out the decisions on it up to the final
@@ -612,51 +610,3 @@
         End::Dropped => "dropped",
     }
 }
-
-/// Extracts from a request what the reducer needs. Missing or invalid token counts are taken as 0.
-fn parse_request<Platform>(
-    id: u64,
-    head: &RequestHead,
-    body: &[u8],
-    now: dotterelhoist_core::clock::Instant,
-) -> Request
-where
-    Platform: Protocol,
-{
-    let names = Platform::HEADERS;
-    let headers = &head.headers;
-    let header_text = |name: &str| headers.find(name).unwrap_or_default();
-    let host = header_text("host").to_ascii_lowercase();
-    let host = host.rsplit_once(':').map_or(host.as_str(), |(host, _)| host);
-    let path = head.target.split('?').next().unwrap_or_default();
-    let key = headers.find("authorization").and_then(|value| {
-        let (scheme, key) = value.split_once(' ')?;
-        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim().into())
-    });
-    let mut tokens =
-        header_text(names.token_counts).split(',').map(|part| part.trim().parse::<u32>());
-    let prompt_tokens = tokens.next().and_then(Result::ok).unwrap_or(0);
-    let max_tokens = tokens.next().and_then(Result::ok).unwrap_or(0);
-    let hint = header_text(names.output_tokens_hint).parse::<u32>().ok();
-    let mut hasher = Xxh3::new();
-    for part in
-        [head.method.as_bytes(), head.target.as_bytes(), header_text("authorization").as_bytes()]
-    {
-        hasher.update(part);
-        hasher.update(&[0]);
-    }
-    hasher.update(body);
-    Request {
-        id,
-        request_id: header_text(names.request_id).into(),
-        host: host.into(),
-        path: path.into(),
-        key,
-        model: header_text(names.model).into(),
-        prompt_tokens,
-        expected_output_tokens: hint
-            .unwrap_or((f64::from(max_tokens) * EXPECTED_OUTPUT_FRACTION) as u32),
-        fingerprint: hasher.digest(),
-        deadline: parse_deadline(headers.find(names.deadline), DEFAULT_CALLER_TIMEOUT, now),
-    }
-}
