--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -8,35 +8,26 @@
 
 use dotterelhoist_fleet::document::Limits;
 use dotterelhoist_fleet::entry::pauses::{self, Pause, Statement};
-use dotterelhoist_fleet::entry::{
-    Attempt, Decision, Effect, End, Event, Reason, Refusal, Request, State,
-};
+use dotterelhoist_fleet::entry::{Attempt, Decision, Effect, End, Event, State};
 use dotterelhoist_fleet::journal as log_events;
 use dotterelhoist_fleet::message::Hello;
 use dotterelhoist_fleet::Name;
-use futures_lite::FutureExt;
 use smol::channel::{bounded, Receiver, Sender};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
 use crate::clock;
-use crate::exchange::Incoming;
-use crate::http::{
-    accept_all, accept_waiting, within, Connection, Error, Framing, Headers, RequestHead,
-    ResponseHead,
-};
+use crate::http::{accept_all, accept_waiting, Connection, Framing, Headers, ResponseHead};
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
 use crate::memory::Budget;
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::protocol::Protocol;
-use crate::response::Response;
 use crate::upstream::Pool;
 
-use self::parsing::parse_request;
-
 pub use dotterelhoist_fleet::entry::Setup;
 
+mod callers;
 mod parsing;
 
 /// Time between two [`Event::Tick`]s.
@@ -44,18 +35,11 @@
 /// Longest head of a readiness check by the load balancer; a connection with a longer one is
 /// closed.
 const MAX_READINESS_HEAD_BYTES: usize = 8 << 10;
-/// Time for a request body to arrive after the head; after that the connection is closed.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes of pipelined requests that are buffered while a request is served. Once that many
-/// have arrived, the connection is no longer read, and a disconnect of the caller is not noticed.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Bytes of the request bodies that are held at the same time; a further request is refused.
 const MAX_REQUEST_BYTES: usize = 32 << 20;
 /// Bytes of the response bodies, and of events that have not arrived completely, that are held at
 /// the same time; a further response ends its attempt as lost.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
-/// Delay after which a caller may retry whose request body found no memory.
-const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(200);
 /// Time after the start of a shutdown for which new requests are still accepted, because the
 /// platform's load balancer needs that long to notice that the daemon is not ready. If half of the
 /// grace period is shorter, that is used instead.
@@ -393,167 +377,6 @@
         }
     }
 
-    /// Serves the requests on the connection of a caller, one after the other.
-    async fn serve(&self, stream: TcpStream) {
-        let mut connection = Connection::open(stream);
-        loop {
-            if connection.buffer.is_empty() && !self.wait_for_request(&mut connection).await {
-                break;
-            }
-            let limits = self.limits();
-            let head = connection.read_request_head(limits.head_bytes);
-            let keep_alive = match within(limits.head_timeout, head).await {
-                Some(Ok(head)) => self.serve_request(&mut connection, head, limits).await,
-                Some(Err(error)) => {
-                    self.refuse_unreadable(&connection, &error).await;
-                    false
-                }
-                None => {
-                    self.meter.count("closed.head_timeout");
-                    false
-                }
-            };
-            if !keep_alive {
-                break;
-            }
-        }
-    }
-
-    /// Waits for the first bytes of a request and returns whether any have arrived. Otherwise the
-    /// idle timeout is over, the caller has closed the connection, or idle connections are to be
-    /// closed. The idle timeout is the one in force at the start or the end of the wait, whichever is
-    /// longer, because the caller may know either.
-    async fn wait_for_request(&self, connection: &mut Connection) -> bool {
-        let started_at = clock::now();
-        let arrived = async { matches!(connection.fill().await, Ok(count) if count > 0) };
-        let close_requested = async {
-            self.close_idle.1.recv().await.ok();
-            let idle_time = clock::now().since(started_at);
-            Timer::after(LAST_REQUEST_TIMEOUT.saturating_sub(idle_time)).await;
-            false
-        };
-        let timed_out = async {
-            loop {
-                let end = started_at + self.limits().idle_timeout;
-                let time_left = end.since(clock::now());
-                if time_left.is_zero() {
-                    self.meter.count("closed.idle");
-                    return false;
-                }
-                Timer::after(time_left).await;
-            }
-        };
-        arrived.or(close_requested).or(timed_out).await
-    }
-
-    /// Refuses a request that could not be read. There is no response if the connection failed.
-    async fn refuse_unreadable(&self, connection: &Connection, error: &Error) {
-        let reason = match error {
-            Error::HeadTooLong | Error::TrailerTooLong => Reason::HeadTooLong,
-            Error::BodyTooLong => Reason::BodyTooLong,
-            Error::NoMemory => Reason::NoMemory,
-            Error::Malformed(_) | Error::ChunksTooLong | Error::CutInHead | Error::CutInBody => {
-                Reason::Malformed
-            }
-            Error::Closed | Error::Broken(_) | Error::InterimTooLong => return,
-        };
-        self.meter.count(&format!("refused.{reason}"));
-        let mut response = Response::open(connection.stream.clone(), false);
-        let retry_after = (reason == Reason::NoMemory).then_some(RETRY_AFTER_NO_MEMORY);
-        response.send_refusal("", "", &Refusal { reason, retry_after }).await;
-    }
-
-    /// Serves one request and returns whether the connection stays open.
-    async fn serve_request(
-        &self,
-        connection: &mut Connection,
-        head: RequestHead,
-        limits: Limits,
-    ) -> bool {
-        let started_at = clock::now();
-        if head.headers.list_contains("expect", "100-continue") {
-            connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.ok();
-        }
-        let mut reservation = self.request_memory.reserve();
-        let body = connection.read_body(head.framing, limits.body_bytes, &mut reservation);
-        let body = match within(BODY_TIMEOUT, body).await {
-            Some(Ok(body)) => body,
-            Some(Err(error)) => {
-                self.refuse_unreadable(connection, &error).await;
-                return false;
-            }
-            None => {
-                self.meter.count("closed.body_timeout");
-                return false;
-            }
-        };
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
-        let request = parse_request::<Platform>(id, &head, &body, started_at);
-        let keep_alive = head.keep_alive && !self.state.borrow().is_stopping();
-        let incoming = Incoming { id, request_id: request.request_id.clone(), head, body };
-        if self.refuses_requests.get() {
-            let refusal =
-                Refusal { reason: Reason::Stopping, retry_after: Some(Duration::from_millis(50)) };
-            let mut response = Response::open(connection.stream.clone(), false);
-            response
-                .send_refusal(Platform::HEADERS.request_id, &incoming.request_id, &refusal)
-                .await;
-            return false;
-        }
-        let mut response = Response::open(connection.stream.clone(), keep_alive);
-        let handling = async {
-            self.run_request(&mut response, &incoming, request).await;
-            true
-        };
-        let completed = handling.or(wait_for_disconnect(connection)).await;
-        self.handles.borrow_mut().remove(&id);
-        if !completed {
-            self.meter.count("caller_gone");
-            self.apply(Event::CallerGone(id));
-            return false;
-        }
-        self.meter.record_latency("request", clock::now().since(started_at));
-        response.keep_alive()
-    }
-
-    /// Passes a request to the reducer and carries out the decisions on it up to the final
-    /// response.
-    async fn run_request(&self, response: &mut Response, incoming: &Incoming, request: Request) {
-        let (decisions, decision_receiver) = bounded(4);
-        let (hedges, hedge_receiver) = bounded(1);
-        self.handles.borrow_mut().insert(incoming.id, RequestHandle { decisions, hedges });
-        self.meter.count("received");
-        self.apply(Event::RequestArrived(Box::new(request)));
-        while let Ok(decision) = decision_receiver.recv().await {
-            match decision {
-                Decision::Send(attempt) => {
-                    self.meter.count(if attempt.number > 1 { "sent.again" } else { "sent.first" });
-                    let end = response.run_attempt(self, incoming, attempt, &hedge_receiver).await;
-                    let answered = end == End::Answered;
-                    self.apply(Event::AttemptEnded(incoming.id, end));
-                    if answered {
-                        return;
-                    }
-                }
-                Decision::Refuse(refusal) => {
-                    if response.has_begun() {
-                        self.meter.count(&format!("cut.{}", refusal.reason));
-                    }
-                    let header = Platform::HEADERS.request_id;
-                    response.send_refusal(header, &incoming.request_id, &refusal).await;
-                    return;
-                }
-                // Sent to the current attempt by `carry_out`.
-                Decision::Hedge(_) => {}
-                Decision::ForwardFailure => {
-                    response.send_error_response().await;
-                    return;
-                }
-            }
-        }
-    }
-
     /// Shuts down: reports not ready at once; after [`ACCEPT_AFTER_STOP`] refuses new requests and
     /// closes idle connections; closes the listener when no request runs any more, because some
     /// callers may still be sent here; then waits until all connections are closed. If the grace
@@ -585,18 +408,6 @@
     }
 }
 
-/// Waits until the caller's connection is closed or fails, and then returns `false`. Once
-/// [`MAX_READ_AHEAD_BYTES`] are buffered, it never returns.
-async fn wait_for_disconnect(connection: &mut Connection) -> bool {
-    while connection.buffer.len() < MAX_READ_AHEAD_BYTES {
-        match connection.fill().await {
-            Ok(0) | Err(_) => return false,
-            Ok(_) => {}
-        }
-    }
-    std::future::pending().await
-}
-
 /// Last part of the name of the counter for attempts that ended like this.
 fn end_label(end: &End) -> &'static str {
     match end {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,16 +6,16 @@
 
 use rstest::rstest;
 
-use self::cuts::{Cut, Framing};
-use self::deployment::{
-    BodyEnd, Call, Caller, Deployment, Exchange, Kind, Received, Receiver, Reply,
-};
-use self::floods::Flood;
+use self::deployment::{Call, Caller, Deployment, Exchange, Kind, Reply};
 
 #[path = "platform/cuts.rs"]
 mod cuts;
 #[path = "platform/deployment.rs"]
 mod deployment;
+#[path = "platform/endings.rs"]
+mod endings;
+#[path = "platform/endless.rs"]
+mod endless;
 #[path = "platform/engine.rs"]
 mod engine;
 #[path = "platform/floods.rs"]
@@ -38,14 +38,6 @@
 const MAX_BODY_BYTES: usize = 100;
 /// Number of events of a stream that lasts longer than a stopping entry daemon accepts requests.
 const STREAM_EVENTS_BEYOND_STOP: u64 = 95;
-/// Beginning of a call whose body never ends.
-const CHUNKED_CALL: &str =
-    "POST /Instances.Heartbeat/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n";
-/// Beginning of a booking whose trailer section never ends.
-const CHUNKED_BOOKING: &str =
-    "POST /book/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
-/// Number of requests or responses without end that are sent at the same time.
-const ENDLESS_MESSAGES: usize = 3;
 /// Time within which a deployment must recover from a failure.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -375,176 +367,3 @@
     assert!(served.is_some(), "the endpoint gets no request after its pause");
     assert_eq!(deployment.turned_away(), 1);
 }
-
-/// Text of the events with these numbers.
-fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
-    numbers.map(engine::event).collect()
-}
-
-/// The first engine sends a part of an event and ends the body: another one must continue the stream.
-#[rstest]
-#[case::connection_in_a_line(Framing::Connection, 2, "id: 3\ndata: pi")]
-#[case::connection_before_the_empty_line(Framing::Connection, 2, "id: 3\ndata: piece\n")]
-#[case::connection_in_the_first_event(Framing::Connection, 0, "id: 1\nda")]
-#[case::chunks(Framing::Chunks, 2, "id: 3\ndata: pi")]
-#[case::length(Framing::Length, 2, "id: 3\ndata: pi")]
-fn stream_that_its_engine_ends_inside_an_event_is_continued_by_another(
-    #[case] framing: Framing,
-    #[case] last_event: u64,
-    #[case] rest: &'static str,
-) {
-    let deployment = Deployment::start();
-    deployment.wait_for_two_groups();
-    deployment.cuts.plan("s0", [Cut { framing, last_event, rest }]);
-    let received = deployment.receive("s0").expect("a response");
-    assert_eq!((received.status, received.body), (200, events(1..=5)));
-    assert_ne!(received.end, BodyEnd::Cut);
-    assert_eq!(deployment.run_count("s0"), 2);
-}
-
-/// All attempts that the route allows end inside an event: the caller must see that the stream is cut.
-#[rstest]
-#[case::connections(Framing::Connection, Framing::Connection)]
-#[case::connection_after_chunks(Framing::Chunks, Framing::Connection)]
-#[case::chunks_after_connection(Framing::Connection, Framing::Chunks)]
-#[case::lengths(Framing::Length, Framing::Length)]
-fn stream_that_all_engines_end_inside_an_event_does_not_look_complete(
-    #[case] first: Framing,
-    #[case] second: Framing,
-) {
-    let deployment = Deployment::start();
-    deployment.wait_for_two_groups();
-    let cuts = [(first, 2), (second, 3)];
-    let cuts = cuts.map(|(framing, last_event)| Cut { framing, last_event, rest: "id: 9\nda" });
-    deployment.cuts.plan("s0", cuts);
-    let received = deployment.receive("s0").expect("a response");
-    assert_eq!(received, Received { status: 200, body: events(1..=3), end: BodyEnd::Cut });
-}
-
-/// All engines end the stream inside its first event: there is no answer, so none may begin.
-#[test]
-fn stream_that_all_engines_end_inside_its_first_event_is_refused() {
-    let deployment = Deployment::start();
-    deployment.wait_for_two_groups();
-    let cut = Cut { framing: Framing::Connection, last_event: 0, rest: "id: 1\nda" };
-    deployment.cuts.plan("s0", [cut; 2]);
-    let received = deployment.receive("s0").expect("a response");
-    assert_eq!((received.status, received.end), (502, BodyEnd::Framed), "{}", received.body);
-}
-
-#[rstest]
-#[case::connection(Framing::Connection)]
-#[case::chunks(Framing::Chunks)]
-#[case::length(Framing::Length)]
-fn stream_that_ends_after_its_last_event_is_whole(#[case] framing: Framing) {
-    let deployment = Deployment::start();
-    deployment.cuts.plan("s0", [Cut { framing, last_event: 5, rest: "" }]);
-    let received = deployment.receive("s0").expect("a response");
-    assert_eq!((received.status, received.body), (200, events(1..=5)));
-    assert_ne!(received.end, BodyEnd::Cut);
-    assert_eq!(deployment.run_count("s0"), 1);
-}
-
-/// Engines send responses without end: all other requests must be served meanwhile.
-#[rstest]
-#[case::event(Flood::Event)]
-#[case::chunked_event(Flood::ChunkedEvent)]
-#[case::known_events(Flood::KnownEvents)]
-#[case::interim_responses(Flood::Interim)]
-#[case::trailers(Flood::Trailers)]
-#[case::chunk_extensions(Flood::ChunkExtensions)]
-#[case::head(Flood::Head)]
-#[case::declined(Flood::Declined)]
-fn bookings_are_served_beside_responses_without_end(#[case] flood: Flood) {
-    let deployment = Deployment::start();
-    deployment.wait_for_two_groups();
-    let ids: Vec<String> = (0..ENDLESS_MESSAGES).map(|number| format!("f{number}-0")).collect();
-    let callers: Vec<_> =
-        ids.iter().map(|id| deployment.request_in_background(id, Kind::Endless(flood))).collect();
-    let all_run = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
-        ids.iter().all(|id| deployment.run_count(id) > 0).then_some(())
-    });
-    assert!(all_run.is_some(), "not all responses have begun in time");
-    for number in 0..REQUESTS {
-        let reply = deployment.book(&format!("b{number}-1"));
-        assert_eq!(reply.map(|reply| reply.status), Some(200), "booking {number}");
-    }
-    for caller in callers {
-        let exchange = caller.join().expect("the caller's thread does not panic");
-        let status = exchange.reply.map(|reply| reply.status);
-        assert_ne!(status, Some(200), "a response without end looks complete");
-    }
-    let tried_again = ids.iter().any(|id| deployment.run_count(id) > 1);
-    assert!(tried_again, "the responses are given up at the deadline only");
-    deployment.check_run_counts();
-}
-
-/// An endpoint of a route without streams ends a body of events inside one: it has broken off.
-#[rstest]
-#[case::connection(Framing::Connection, "id: 3\ndata: pi", 502)]
-#[case::chunks(Framing::Chunks, "id: 3\ndata: piece\n", 502)]
-#[case::length(Framing::Length, "id: 3\n", 502)]
-#[case::whole(Framing::Connection, "", 200)]
-fn booking_whose_body_ends_inside_an_event_is_refused(
-    #[case] framing: Framing,
-    #[case] rest: &'static str,
-    #[case] status: u16,
-) {
-    let deployment = Deployment::start();
-    deployment.cuts.plan("a1", [Cut { framing, last_event: 2, rest }]);
-    let reply = deployment.book("a1").expect("a complete response");
-    assert_eq!(reply.status, status, "{}", reply.body);
-    deployment.check_run_counts();
-}
-
-/// The engine sends data without an id, which a resumed stream would repeat, before it breaks off.
-#[test]
-fn stream_is_cut_rather_than_resumed_after_data_without_an_id() {
-    let deployment = Deployment::start();
-    deployment.wait_for_two_groups();
-    let rest = "data: x\n\nid: 3\nda";
-    deployment.cuts.plan("s0", [Cut { framing: Framing::Chunks, last_event: 2, rest }]);
-    let received = deployment.receive("s0").expect("a response");
-    let body = events(1..=2) + "data: x\n\n";
-    assert_eq!(received, Received { status: 200, body, end: BodyEnd::Cut });
-    assert_eq!(deployment.run_count("s0"), 1);
-}
-
-/// The engine sends a comment before it breaks off: nothing would be repeated.
-#[test]
-fn stream_is_resumed_after_a_comment_without_an_id() {
-    let deployment = Deployment::start();
-    deployment.wait_for_two_groups();
-    let rest = ": ping\n\nid: 3\nda";
-    deployment.cuts.plan("s0", [Cut { framing: Framing::Chunks, last_event: 2, rest }]);
-    let received = deployment.receive("s0").expect("a response");
-    let body = events(1..=2) + ": ping\n\n" + &events(3..=5);
-    assert_eq!(received, Received { status: 200, body, end: BodyEnd::Framed });
-}
-
-/// Callers, endpoints or operators send requests without end: all others must be served meanwhile,
-/// documents put, and the connections closed.
-#[rstest]
-#[case::head_to_entry(Receiver::Entry, "POST /book/x HTTP/1.1\r\nX: ", "x")]
-#[case::trailers_to_entry(Receiver::Entry, CHUNKED_BOOKING, "X: y\r\n")]
-#[case::chunks_to_entry(Receiver::Entry, CHUNKED_CALL, "1\r\nx\r\n")]
-#[case::trailers_to_control(Receiver::Control, CHUNKED_BOOKING, "X: y\r\n")]
-#[case::chunks_to_control(Receiver::Control, CHUNKED_CALL, "1\r\nx\r\n")]
-fn bookings_are_served_beside_requests_without_end(
-    #[case] receiver: Receiver,
-    #[case] start: &str,
-    #[case] part: &str,
-) {
-    let deployment = Deployment::start();
-    let floods: Vec<_> =
-        (0..ENDLESS_MESSAGES).map(|_| deployment.flood(receiver, start, part)).collect();
-    for number in 0..REQUESTS {
-        let reply = deployment.book(&format!("b{number}-1"));
-        assert_eq!(reply.map(|reply| reply.status), Some(200), "booking {number}");
-    }
-    deployment.put(8);
-    for flood in floods {
-        flood.join().expect("the sender's thread does not panic");
-    }
-    assert_eq!(deployment.read_version(), Some(8));
-}
