Tests: a second attempt that is cut, answers to orders without end; a limit on slow readers of calls

Both tests pass on the fixed code. A control daemon closes the connection of a caller that does not read its response within 10 s; before, the response was held as long as the connection.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -34,7 +34,7 @@
 /// Time between two [`Event::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for the rest of a call to arrive after its first bytes; after that it is answered with
-/// status 400 and the connection is closed.
+/// status 400 and the connection is closed. Also the time for the caller to read the response.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which the connection of an endpoint or operator may stay idle; after that it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -302,7 +302,8 @@
                 }
             };
             let response = self.handle_call(&head, body.to_vec()).await;
-            if connection.write(&response).await.is_err() || !head.keep_alive {
+            let written = within(CALL_TIMEOUT, connection.write(&response)).await;
+            if !matches!(written, Some(Ok(()))) || !head.keep_alive {
                 return;
             }
         }
--- a/tests/platform/cuts.rs
+++ b/tests/platform/cuts.rs
@@ -1,7 +1,7 @@
 //! Streams that a stand-in ends in an unusual way.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use super::engine::event;
 
@@ -37,7 +37,7 @@
 
 /// Cuts of streams by request id, in the order of the runs; shared by all stand-ins.
 #[derive(Clone, Debug, Default)]
-pub struct Cuts(Arc<Mutex<HashMap<String, VecDeque<Cut>>>>);
+pub struct Cuts(Arc<Mutex<HashMap<String, VecDeque<Option<Cut>>>>>);
 
 impl Cuts {
     /// Makes the next runs of a stream end like this; later ones are complete.
@@ -45,12 +45,21 @@
     where
         Planned: IntoIterator<Item = Cut>,
     {
-        let mut plans = self.0.lock().expect("no thread panics while it holds the lock");
-        plans.insert(id.to_owned(), cuts.into_iter().collect());
+        let cuts = cuts.into_iter().map(Some).collect();
+        self.lock().insert(id.to_owned(), cuts);
+    }
+
+    /// Makes the second run of a stream end like this; the others are complete.
+    pub fn plan_second(&self, id: &str, cut: Cut) {
+        self.lock().insert(id.to_owned(), [None, Some(cut)].into());
     }
 
     /// Takes the cut of the run of a stream that begins now.
     pub fn next(&self, id: &str) -> Option<Cut> {
-        self.0.lock().expect("no thread panics while it holds the lock").get_mut(id)?.pop_front()
+        self.lock().get_mut(id)?.pop_front().flatten()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, VecDeque<Option<Cut>>>> {
+        self.0.lock().expect("no thread panics while it holds the lock")
     }
 }
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -155,6 +155,8 @@
     rest: Arc<Mutex<Rest>>,
     /// Streams that end in an unusual way.
     pub cuts: Cuts,
+    /// Whether engines send interim responses without end after they have carried out an order.
+    pub endless_orders: Arc<AtomicBool>,
     /// Number of labels that [`Deployment::unique_label`] has returned.
     label_count: AtomicU64,
 }
@@ -188,6 +190,7 @@
             silence: Silence::default(),
             rest: Arc::default(),
             cuts: Cuts::default(),
+            endless_orders: Arc::default(),
             label_count: AtomicU64::new(0),
         };
         for index in 0..CONTROL_DAEMONS {
@@ -206,6 +209,7 @@
                 silence: deployment.silence.clone(),
                 rest: deployment.rest.clone(),
                 cuts: deployment.cuts.clone(),
+                endless_orders: deployment.endless_orders.clone(),
             };
             deployment.engines.push(Some(engine.start()));
         }
@@ -380,11 +384,16 @@
 
     /// Waits until two groups serve the streaming route.
     pub fn wait_for_two_groups(&self) {
-        let two_serve = self.poll(WAIT_TIMEOUT, |deployment| {
+        self.wait_for_groups(2);
+    }
+
+    /// Waits until so many groups serve the streaming route or have served it.
+    pub fn wait_for_groups(&self, count: usize) {
+        let all_serve = self.poll(WAIT_TIMEOUT, |deployment| {
             deployment.stream(&deployment.unique_label(), None);
-            (deployment.silence.sender_count() > 1).then_some(())
+            (deployment.silence.sender_count() >= count).then_some(())
         });
-        assert!(two_serve.is_some(), "only one group serves");
+        assert!(all_serve.is_some(), "fewer than {count} groups serve");
     }
 
     /// Sends a booking, which is not idempotent and may run at most once.
--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -117,3 +117,18 @@
     let body = events(1..=2) + ": ping\n\n" + &events(3..=5);
     assert_eq!(received, Received { status: 200, body, end: BodyEnd::Framed });
 }
+
+/// The first engine falls silent, and the second attempt beside it takes over and ends inside an
+/// event: a third one must continue the stream.
+#[test]
+fn stream_whose_second_attempt_ends_inside_an_event_is_continued_by_a_third() {
+    let deployment = Deployment::start();
+    deployment.put(100);
+    deployment.wait_for_groups(3);
+    deployment.silence.abandon("s0");
+    let cut = Cut { framing: Framing::Connection, last_event: 3, rest: "id: 4\nda" };
+    deployment.cuts.plan_second("s0", cut);
+    let received = deployment.receive("s0").expect("a response");
+    assert_eq!(received, Received { status: 200, body: events(1..=5), end: BodyEnd::Framed });
+    assert_eq!(deployment.run_count("s0"), 3);
+}
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -1,5 +1,7 @@
 //! Requests and responses that are sent without end.
 
+use std::sync::atomic::Ordering;
+
 use rstest::rstest;
 
 use super::deployment::{Deployment, Kind, Receiver};
@@ -75,3 +77,15 @@
     }
     assert_eq!(deployment.read_version(), Some(8));
 }
+
+/// Engines carry out orders and answer them without end: documents must be put and groups formed.
+#[test]
+fn documents_and_groups_come_beside_answers_to_orders_without_end() {
+    let deployment = Deployment::start();
+    deployment.endless_orders.store(true, Ordering::Relaxed);
+    deployment.put(100);
+    deployment.wait_for_groups(3);
+    deployment.put(101);
+    assert_eq!(deployment.read_version(), Some(101));
+    assert_eq!(deployment.book("b0-1").map(|reply| reply.status), Some(200));
+}
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
 use smol::Timer;
 
 use super::cuts::{Cut, Cuts, Framing};
-use super::floods;
+use super::floods::{self, Flood};
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -138,6 +139,9 @@
     pub rest: Arc<Mutex<Rest>>,
     /// Streams that end in an unusual way, shared by all stand-ins.
     pub cuts: Cuts,
+    /// Whether it sends interim responses without end after it has carried out an order, shared by
+    /// all stand-ins.
+    pub endless_orders: Arc<AtomicBool>,
 }
 
 /// Mutable state of a stand-in.
@@ -201,6 +205,9 @@
             match &*head.target {
                 "/order" => {
                     let status = apply_order(shared, &serde_json::from_slice(&body).ok()?);
+                    if self.endless_orders.load(Ordering::Relaxed) {
+                        return floods::send(&mut connection, "", Flood::Interim).await;
+                    }
                     let line = format!("HTTP/1.1 {status} Order\r\nContent-Length: 0\r\n\r\n");
                     connection.write(line.as_bytes()).await.ok()?;
                 }
