A daemon without memory for bodies holds nothing against endpoints

Found by reading the new reasons of losses: no_memory is the daemon's own shortage, but counted as a failure of the endpoint, which was ejected, and as a sign of a crash. endpoints_stay_in_use_when_the_daemon_has_no_memory_for_their_responses failed before: no endpoint is left for one of the first requests.

--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -210,3 +210,10 @@
     /// The response to the caller has begun as a stream, and this one is none.
     NotContinued,
 }
+
+impl Loss {
+    /// Whether the endpoint is the cause, rather than the daemon itself.
+    pub fn is_of_endpoint(self) -> bool {
+        self != Loss::NoMemory
+    }
+}
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -340,12 +340,13 @@
                 self.targets.record_success(target);
             }
             End::Unreachable => self.targets.record_failure(target, true, now),
+            End::Lost(loss) if !loss.is_of_endpoint() => {}
             End::Lost(_) | End::Failed { .. } | End::Declined { .. } => {
                 self.targets.record_failure(target, false, now);
             }
             End::TimedOut { .. } | End::Dropped | End::Withheld => {}
         }
-        if matches!(end, End::Lost(_)) {
+        if matches!(end, End::Lost(loss) if loss.is_of_endpoint()) {
             self.losses.record(active.request.fingerprint, target.clone(), now);
         }
         self.log_failed_attempt(id, target, end, effects);
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -644,3 +644,15 @@
         .any(|report| report.suspects.contains(&target.to_string()));
     assert!(reported, "{:?}", harness.unselected_reports);
 }
+
+/// A daemon without memory for bodies loses the responses of sound endpoints, which must stay in use.
+#[test]
+fn endpoints_stay_in_use_when_the_daemon_has_no_memory_for_their_responses() {
+    let mut harness = Harness::open(TWO_PLAIN);
+    for id in 1..=20 {
+        harness.send(id, "/read/x");
+        assert!(matches!(harness.last_decision(id), Some(Decision::Send(_))), "request {id}");
+        harness.apply(Event::AttemptEnded(id, End::Lost(Loss::NoMemory)));
+        harness.apply(Event::AttemptEnded(id, End::Lost(Loss::NoMemory)));
+    }
+}
