--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -1,4 +1,5 @@
-//! Handling of requests from their arrival to their final response.
+//! Handling of requests from their arrival to their final response: this module admits, queues and
+//! sends them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,21 +8,16 @@
 use smallvec::SmallVec;
 
 use crate::control::Reader;
-use crate::document::{Kind, Route, Workspace};
-use crate::journal;
+use crate::document::{Route, Workspace};
 use crate::Name;
 
 use super::queue::{Requirement, Waiting};
 use super::targets::Choice;
-use super::{Attempt, Decision, Effect, End, Reason, Refusal, Request, State};
+use super::{Attempt, Decision, Effect, Reason, Refusal, Request, State};
+
+mod ending;
+mod refusing;
 
-/// Delay after which the caller of a refused request is told to retry, before jitter is added. If
-/// the request is refused after its service was chosen, the sum is capped at a quarter of the time
-/// until the caller's deadline.
-const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(500);
-/// Delay after which the caller of a request that the daemon can't judge yet is told to retry,
-/// before jitter is added; a newer document normally arrives within it.
-const RETRY_AFTER_OUTDATED: Duration = Duration::from_millis(200);
 /// Part of the target latency for which a queued request can still meet it; afterwards, requests
 /// that can still meet theirs go first.
 const ON_TIME_FACTOR: f64 = 0.5;
@@ -30,9 +26,6 @@
 /// Longest time for which a request may be queued, whatever its target latency; callers abandon a
 /// stream that does not begin.
 pub(super) const QUEUE_TIMEOUT_MAX: Duration = Duration::from_millis(1200);
-/// Time from the start of a daemon to its readiness when the whole deployment starts. Callers that
-/// are refused earlier are told to retry when it has passed.
-const COLD_START_DURATION: Duration = Duration::from_millis(2400);
 /// Longest queue for a requirement, as a fraction of the slots of its endpoints; further requests
 /// are refused.
 const QUEUE_SLOTS_RATIO: f64 = 0.15;
@@ -262,16 +255,6 @@
         }
     }
 
-    /// Refuses the requests whose queue timeout is over.
-    pub(super) fn refuse_expired(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        for id in self.queue.expire(now) {
-            let capacity =
-                self.requests.get(&id).map(|active| self.targets.capacity(&active.requirement));
-            let reason = if capacity == Some(0) { Reason::NoEndpoint } else { Reason::TooLate };
-            self.refuse_active(now, id, reason, effects);
-        }
-    }
-
     /// Records that the response to a request has begun.
     pub fn record_response_start(&mut self, id: u64) {
         let Some(active) = self.requests.get_mut(&id) else { return };
@@ -302,249 +285,6 @@
         active.unresumable = true;
     }
 
-    /// Records the end of an attempt with its endpoint and decides what follows.
-    pub(super) fn end_attempt(
-        &mut self,
-        now: Instant,
-        id: u64,
-        end: End,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        let Some(target) = active.endpoint.take() else { return };
-        let begun = std::mem::take(&mut active.phase) == Phase::Begun;
-        self.record_outcome(now, id, &target, begun, &end, effects);
-        if self.continue_with_hedge(id, &end) {
-            self.send_queued(now, effects);
-            return;
-        }
-        self.decide_next_step(now, id, end, effects);
-        self.send_queued(now, effects);
-    }
-
-    /// Records the end of an attempt in the state of its endpoint, and logs it.
-    pub(super) fn record_outcome(
-        &mut self,
-        now: Instant,
-        id: u64,
-        target: &Name,
-        begun: bool,
-        end: &End,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(active) = self.requests.get(&id) else { return };
-        self.targets.record_end(target, begun, active.request.prompt_tokens);
-        match end {
-            End::Answered => self.targets.record_success(target),
-            End::Failed { .. } if active.route.kind != Kind::Streaming => {
-                self.targets.record_success(target);
-            }
-            End::Unreachable => self.targets.record_failure(target, true, now),
-            End::Lost(loss) if !loss.is_of_endpoint() => {}
-            End::Lost(_) | End::Failed { .. } | End::Declined { .. } => {
-                self.targets.record_failure(target, false, now);
-            }
-            End::TimedOut { .. } | End::Dropped | End::Withheld => {}
-        }
-        if matches!(end, End::Lost(loss) if loss.is_of_endpoint()) {
-            self.losses.record(active.request.fingerprint, target.clone(), now);
-        }
-        self.log_failed_attempt(id, target, end, effects);
-    }
-
-    /// Logs the end of an attempt unless it succeeded or was dropped.
-    fn log_failed_attempt(&self, id: u64, target: &Name, end: &End, effects: &mut Vec<Effect>) {
-        let Some(active) = self.requests.get(&id) else { return };
-        if matches!(end, End::Answered | End::Dropped) {
-            return;
-        }
-        let detail = format!(
-            "end={end:?} endpoint={target} attempt={} of={} route={}",
-            active.attempts, active.route.max_attempts, active.route.name
-        );
-        let event = journal::Event::new(121, "attempt failed", &*active.request.request_id, detail);
-        effects.push(Effect::Log(event));
-    }
-
-    /// Decides after the end of an attempt whether its request is done, retried or refused.
-    fn decide_next_step(&mut self, now: Instant, id: u64, end: End, effects: &mut Vec<Effect>) {
-        let Some(active) = self.requests.get_mut(&id) else { return };
-        let retryable = active.is_retryable();
-        match end {
-            End::Answered => {
-                let Some(active) = self.requests.remove(&id) else { return };
-                self.release_hedge(&active);
-            }
-            End::Unreachable | End::Withheld => {
-                active.attempts -= 1;
-                self.retry(now, id, Reason::NoEndpoint, false, effects);
-            }
-            End::Declined { .. } => self.retry(now, id, Reason::Declined, true, effects),
-            End::Failed { .. } if retryable && active.route.kind == Kind::Idempotent => {
-                active.may_have_run = true;
-                self.retry_or_forward(now, id, effects);
-            }
-            End::Failed { .. } => self.forward_failure(id, effects),
-            End::Lost(_) | End::Dropped if retryable => {
-                active.may_have_run = true;
-                self.retry(now, id, Reason::Lost, true, effects);
-            }
-            End::Lost(_) | End::Dropped => {
-                active.may_have_run = true;
-                self.refuse_active(now, id, Reason::Lost, effects);
-            }
-            End::TimedOut { .. } => {
-                active.may_have_run = true;
-                self.refuse_active(now, id, Reason::TimedOut, effects);
-            }
-        }
-    }
-
-    /// Whether a request may be retried; if so and `needs_token` is set, takes a token of the retry
-    /// budget. A retry after an attempt that could not connect needs none.
-    fn acquire_retry(&mut self, now: Instant, id: u64, needs_token: bool) -> bool {
-        let Some(active) = self.requests.get(&id) else { return false };
-        let time_left = active.deadline.since(now) > REMAINING_TIME_MIN;
-        let attempts_left = active.attempts < active.route.max_attempts;
-        let tries_left = active.tried.len() < TRIED_ENDPOINTS_MAX;
-        time_left
-            && attempts_left
-            && tries_left
-            && (!needs_token || self.budget.withdraw(&active.requirement.0))
-    }
-
-    /// Retries a request, or refuses it for `refusal_reason` if no retry is allowed.
-    fn retry(
-        &mut self,
-        now: Instant,
-        id: u64,
-        refusal_reason: Reason,
-        needs_token: bool,
-        effects: &mut Vec<Effect>,
-    ) {
-        if !self.acquire_retry(now, id, needs_token) {
-            self.refuse_active(now, id, refusal_reason, effects);
-            return;
-        }
-        self.send_or_enqueue(now, id, effects);
-    }
-
-    /// Retries a request if that is allowed and an endpoint has a free slot now; otherwise forwards
-    /// the error response at hand.
-    fn retry_or_forward(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) {
-        let Some(active) = self.requests.get(&id) else { return };
-        let random = self.rng_state;
-        let choice = self.targets.choose(&active.requirement, &active.tried, now, random);
-        let available = matches!(choice, Choice::Endpoint(_));
-        if available && self.acquire_retry(now, id, true) {
-            self.send_or_enqueue(now, id, effects);
-            return;
-        }
-        self.forward_failure(id, effects);
-    }
-
-    /// Ends a request with the endpoint's error response.
-    fn forward_failure(&mut self, id: u64, effects: &mut Vec<Effect>) {
-        self.requests.remove(&id);
-        effects.push(Effect::Decide(id, Decision::ForwardFailure));
-    }
-
-    /// Ends a request with a refusal. A request that may have run is never refused with a reason
-    /// that guarantees that it has not.
-    pub(super) fn refuse_active(
-        &mut self,
-        now: Instant,
-        id: u64,
-        reason: Reason,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(active) = self.requests.get(&id) else { return };
-        let deadline = active.request.deadline;
-        let pause_left = self.pause_left(&active.requirement, now);
-        let retry_after = pause_left.unwrap_or_else(|| self.retry_after_refusal(now, deadline));
-        self.refuse_after(id, reason, retry_after, effects);
-    }
-
-    /// Like [`State::refuse_active`], with the time after which the caller may retry if the request
-    /// has not run.
-    pub(super) fn refuse_after(
-        &mut self,
-        id: u64,
-        reason: Reason,
-        retry_after: Duration,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(active) = self.requests.remove(&id) else { return };
-        self.queue.remove(&active.requirement, id);
-        self.release_hedge(&active);
-        let possibly_run = active.may_have_run && reason != Reason::TimedOut;
-        let reason = if possibly_run { Reason::Lost } else { reason };
-        let retry_after = matches!(reason.status(), 429 | 503).then_some(retry_after);
-        if active.response_begun {
-            let detail = format!("reason={reason} attempts={}", active.attempts);
-            let request_id = &*active.request.request_id;
-            effects.push(Effect::Log(journal::Event::new(123, "response cut", request_id, detail)));
-        }
-        let request_id = active.request.request_id.clone();
-        self.refuse(id, &request_id, Refusal { reason, retry_after }, effects);
-    }
-
-    /// Time after which the caller of a refused request may retry: [`RETRY_AFTER_DEFAULT`], which
-    /// is long enough for the requests that are queued now to be served, and a random part that
-    /// spreads the retries, but at most a quarter of the time that the caller still waits.
-    fn retry_after_refusal(&mut self, now: Instant, deadline: Instant) -> Duration {
-        let left = deadline.since(now);
-        let jitter = Duration::from_millis(self.next_random() % 300);
-        (RETRY_AFTER_DEFAULT + jitter).min(left / 4)
-    }
-
-    /// Time after which a caller may retry whose request was refused before its service was chosen;
-    /// none if a retry is pointless.
-    fn retry_after_unresolved(&mut self, now: Instant, reason: Reason) -> Option<Duration> {
-        match reason {
-            Reason::Outdated => {
-                Some(RETRY_AFTER_OUTDATED + Duration::from_millis(self.next_random() % 100))
-            }
-            Reason::Starting => Some(self.retry_after_startup(now)),
-            _ => None,
-        }
-    }
-
-    /// Time after which a caller may retry at a daemon that is not ready: when it will probably be
-    /// ready. A random part spreads the retries.
-    fn retry_after_startup(&mut self, now: Instant) -> Duration {
-        let jitter = Duration::from_millis(self.next_random() % 300);
-        let left = COLD_START_DURATION.saturating_sub(now.since(self.started));
-        left.max(RETRY_AFTER_DEFAULT) + jitter
-    }
-
-    /// Logs a refusal and tells the shell to send it.
-    fn refuse(&self, id: u64, request_id: &Name, refusal: Refusal, effects: &mut Vec<Effect>) {
-        let detail = format!("reason={} retry_after={:?}", refusal.reason, refusal.retry_after);
-        effects.push(Effect::Log(journal::Event::new(
-            122,
-            "request refused",
-            &**request_id,
-            detail,
-        )));
-        effects.push(Effect::Decide(id, Decision::Refuse(refusal)));
-    }
-
-    /// Drops a request whose caller has closed its connection.
-    pub(super) fn cancel_request(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) {
-        let Some(active) = self.requests.remove(&id) else { return };
-        self.queue.remove(&active.requirement, id);
-        if let Some(target) = &active.endpoint {
-            self.targets.record_end(
-                target,
-                active.phase == Phase::Begun,
-                active.request.prompt_tokens,
-            );
-        }
-        self.release_hedge(&active);
-        self.send_queued(now, effects);
-    }
-
     /// Whether the endpoints of a service serve models.
     fn has_models(&self, service: &Name) -> bool {
         let document = self.document.as_ref();
