Small bodies need no part of the memory budget

Found by asking what a few slow peers cost the others: two callers that read 16 MiB slowly, or eight that send 4 MiB slowly, held the whole budget of 32 MiB, and every other response of 800 bytes was lost, or every other request refused, for want of memory. Each body now holds 64 KiB freely, and only what is beyond comes from the budget. With the free part taken out, the three cases of body_is_read_as_far_as_others_leave_memory fail.

--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,23 +1,29 @@
 //! The bytes of bodies that a daemon holds at the same time.
 //!
 //! Each body has a limit of its own, but a peer that sends many bodies without end could fill the
-//! memory of the VM nevertheless. All bodies of one kind therefore share a [`Budget`].
+//! memory of the VM nevertheless. All bodies of one kind therefore share a [`Budget`] for what is
+//! beyond [`MAX_FREE_BYTES`] of each.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Bytes that each body holds without a part of the budget, so that a few large bodies don't keep
+/// others from being read.
+pub const MAX_FREE_BYTES: usize = 64 << 10;
+
 /// Bytes that bodies may still hold; clones share them.
 ///
 /// ```
-/// use dotterelhoist_gateway::memory::Budget;
+/// use dotterelhoist_gateway::memory::{Budget, MAX_FREE_BYTES};
 ///
 /// let budget = Budget::open(100);
 /// let mut first = budget.reserve();
-/// assert!(first.resize(80));
+/// assert!(first.resize(MAX_FREE_BYTES + 80));
 /// let mut second = budget.reserve();
-/// assert!(!second.resize(40));
+/// assert!(second.resize(MAX_FREE_BYTES));
+/// assert!(!second.resize(MAX_FREE_BYTES + 40));
 /// drop(first);
-/// assert!(second.resize(40));
+/// assert!(second.resize(MAX_FREE_BYTES + 40));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -28,6 +34,7 @@
 #[derive(Debug)]
 pub struct Reservation {
     budget: Budget,
+    /// Bytes beyond [`MAX_FREE_BYTES`].
     bytes: usize,
 }
 
@@ -44,9 +51,10 @@
 }
 
 impl Reservation {
-    /// Changes the reservation to this many bytes, or returns false if the budget has not as many
-    /// left.
-    pub fn resize(&mut self, bytes: usize) -> bool {
+    /// Changes the reservation to a body of this many bytes, or returns false if the budget has not
+    /// as many left.
+    pub fn resize(&mut self, body_bytes: usize) -> bool {
+        let bytes = body_bytes.saturating_sub(MAX_FREE_BYTES);
         let available = self.budget.left.get() + self.bytes;
         let Some(left) = available.checked_sub(bytes) else { return false };
         self.budget.left.set(left);
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -1,7 +1,7 @@
 //! Framing of HTTP messages over real sockets.
 
 use dotterelhoist_gateway::http::{BodyReader, Connection, Error, Framing};
-use dotterelhoist_gateway::memory::{Budget, Reservation};
+use dotterelhoist_gateway::memory::{Budget, Reservation, MAX_FREE_BYTES};
 use futures_lite::AsyncWriteExt;
 use rstest::rstest;
 use smol::net::{TcpListener, TcpStream};
@@ -183,23 +183,27 @@
     assert!(error.starts_with(expected), "{error}");
 }
 
-#[test]
-fn body_beyond_the_memory_that_others_leave_is_an_error() {
+/// Other bodies hold all memory or none: a large body must fail or be read, a small one be read.
+#[rstest]
+#[case::large_without_memory(MAX_FREE_BYTES + 500, 1000, false)]
+#[case::large_with_memory(MAX_FREE_BYTES + 500, 0, true)]
+#[case::small_without_memory(MAX_FREE_BYTES, 1000, true)]
+fn body_is_read_as_far_as_others_leave_memory(
+    #[case] length: usize,
+    #[case] held_by_others: usize,
+    #[case] is_read: bool,
+) {
     smol::block_on(async {
         let budget = Budget::open(1000);
         let mut other = budget.reserve();
-        assert!(other.resize(600));
-        let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{}", "x".repeat(500));
-        for (is_held, expected) in [(true, false), (false, true)] {
-            if !is_held {
-                other.resize(0);
-            }
-            let (mut connection, _open) = connection_with(bytes.as_bytes(), true).await;
-            let head = connection.read_response_head("GET", 8192).await.expect("a valid head");
-            let mut reservation = budget.reserve();
-            let body = connection.read_body(head.framing, 1000, &mut reservation).await;
-            assert_eq!(body.is_ok(), expected, "{body:?}");
-        }
+        assert!(other.resize(MAX_FREE_BYTES + held_by_others));
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        let bytes = head + &"x".repeat(length);
+        let (mut connection, _open) = connection_with(bytes.as_bytes(), true).await;
+        let head = connection.read_response_head("GET", 8192).await.expect("a valid head");
+        let mut reservation = budget.reserve();
+        let body = connection.read_body(head.framing, length, &mut reservation).await;
+        assert_eq!(body.is_ok(), is_read, "{:?}", body.err());
     });
 }
 
