Platform tests: addresses of their own for 63 deployments, logs on failure

Traced: the daemons of that deployment had printed 'Address already in use' and ended, because addresses repeated after 30 deployments of a process, the file has 50 since today, and a test that lasts 20 s was still running; its engines then joined the other deployment. Each deployment now has four addresses of its own, and an assertion says when none are left. A failed test prints the daemons' log files, which went to nowhere.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -2,6 +2,7 @@
 //! endpoints.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -245,14 +246,21 @@
         );
         let path = self.folder.path().join(format!("{ip}.conf"));
         std::fs::write(&path, text).expect("the temporary folder is writable");
+        let log =
+            std::fs::File::create(self.log_path(ip)).expect("the temporary folder is writable");
         Command::new(env!("CARGO_BIN_EXE_dotterelhoistd"))
             .arg("platform")
             .env("DOTTERELHOIST_NODE_FILE", path)
-            .stdout(Stdio::null())
+            .stdout(Stdio::from(log))
             .spawn()
             .expect("the daemon was built")
     }
 
+    /// File to which the daemon with this address writes its log.
+    fn log_path(&self, ip: &str) -> PathBuf {
+        self.folder.path().join(format!("{ip}.log"))
+    }
+
     fn entry_address(&self, port: u16) -> SocketAddr {
         address(&self.ips[CONTROL_DAEMONS], port)
     }
@@ -574,6 +582,12 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            for ip in &self.ips {
+                let log = std::fs::read_to_string(self.log_path(ip)).unwrap_or_default();
+                println!("log of the daemon at {ip}:\n{log}");
+            }
+        }
         for child in self.control_daemons.iter_mut().chain([&mut self.entry]).flatten() {
             child.kill().ok();
             child.wait().ok();
@@ -670,10 +684,10 @@
     let number = DEPLOYMENT_COUNT.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
     let (high, low) = (process / 250 % 250 + 1, process % 250 + 1);
-    let first = number % 30 * 8 + 1;
-    (0..=CONTROL_DAEMONS as u64)
-        .map(|index| format!("127.{high}.{low}.{}", first + index))
-        .collect()
+    let daemons = CONTROL_DAEMONS as u64 + 1;
+    let first = number * daemons + 1;
+    assert!(first + daemons <= 255, "no addresses are left for deployment {number}");
+    (0..daemons).map(|index| format!("127.{high}.{low}.{}", first + index)).collect()
 }
 
 /// Configuration document of all tests: a streaming route that allows 2 attempts, and routes whose
