Read buffers are on the stack of a poll, not in each request's task

Cause: the read buffer of 16 KiB lies in the future of fill, and each place in a request's task that may hold such a future holds another 16 KiB; the time limit for the body of a refusal added more of them.

--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -91,14 +92,20 @@
     ///
     /// Returns the error of the socket.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let mut chunk = [0u8; READ_BUFFER_BYTES];
-        let Connection { stream, turn, .. } = self;
+        let Connection { stream, buffer, turn } = self;
+        // The bytes are read onto the stack of a poll: a future that held them would be large, and so
+        // would each request's task.
         let read = poll_fn(|context| {
-            turn.poll(context, |context| Pin::new(&mut *stream).poll_read(context, &mut chunk))
+            turn.poll(context, |context| {
+                let mut chunk = [0u8; READ_BUFFER_BYTES];
+                let read = Pin::new(&mut *stream).poll_read(context, &mut chunk);
+                if let Poll::Ready(Ok(count)) = &read {
+                    buffer.extend_from_slice(&chunk[..*count]);
+                }
+                read
+            })
         });
-        let count = read.await?;
-        self.buffer.extend_from_slice(&chunk[..count]);
-        Ok(count)
+        read.await
     }
 
     /// Writes all of `bytes`.
