A body of events may have long events that are complete

The case 'complete' of body_with_a_long_event_has_broken_off_only_inside_an_event failed before; 26 of 26 of the splitter's tests pass.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -31,6 +31,8 @@
 pub struct Splitter {
     /// Bytes received and not yet returned as an event.
     buffer: BytesMut,
+    /// Longest event; a longer one is an error.
+    max_event_bytes: usize,
     /// Where the current line begins in the buffer.
     line_start: usize,
     /// Up to where the buffer has been searched for the end of the current line.
@@ -92,6 +94,7 @@
     pub fn open(continues: bool) -> Splitter {
         Splitter {
             buffer: BytesMut::new(),
+            max_event_bytes: MAX_EVENT_BYTES,
             line_start: 0,
             searched: 0,
             follows_cr: false,
@@ -125,7 +128,7 @@
                 return self.take_event().map(Some);
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
+        if self.buffer.len() > self.max_event_bytes {
             return Err(Error::EventTooLong);
         }
         Ok(None)
@@ -196,7 +199,7 @@
 
     /// Removes the bytes up to the current line, which are an event.
     fn take_event(&mut self) -> Result<Event, Error> {
-        if self.line_start > MAX_EVENT_BYTES {
+        if self.line_start > self.max_event_bytes {
             return Err(Error::EventTooLong);
         }
         let bytes = self.buffer.split_to(self.line_start).freeze();
@@ -207,7 +210,8 @@
     }
 }
 
-/// Whether a stream that is over ends inside an event, so that it has broken off.
+/// Whether a stream that is over ends inside an event, so that it has broken off. Its events may
+/// have any length.
 ///
 /// ```
 /// use dotterelhoist_gateway::events::ends_inside_event;
@@ -216,7 +220,7 @@
 /// assert!(!ends_inside_event(b"data: x\n\n"));
 /// ```
 pub fn ends_inside_event(stream: &[u8]) -> bool {
-    let mut splitter = Splitter::open(false);
+    let mut splitter = Splitter { max_event_bytes: usize::MAX, ..Splitter::open(false) };
     for part in stream.chunks(PART_BYTES) {
         splitter.push(part);
         while let Ok(Some(_)) = splitter.next() {}
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -1,6 +1,6 @@
 //! Splitting of event streams.
 
-use dotterelhoist_gateway::events::{Error, Splitter, MAX_EVENT_BYTES};
+use dotterelhoist_gateway::events::{ends_inside_event, Error, Splitter, MAX_EVENT_BYTES};
 use rstest::rstest;
 
 /// Bytes and ids of the events of a stream that arrives in parts of `part_bytes`, and whether it ends
@@ -82,3 +82,15 @@
     assert!(end * part.len() <= MAX_EVENT_BYTES, "{end} parts");
     assert_eq!(splitter.next(), Err(Error::EventTooLong));
 }
+
+#[rstest]
+#[case::complete("\n\ndata: x\n\n", false)]
+#[case::cut_in_it("", true)]
+#[case::cut_after_it("\n\ndata: x\n", true)]
+fn body_with_a_long_event_has_broken_off_only_inside_an_event(
+    #[case] rest: &str,
+    #[case] inside: bool,
+) {
+    let body = format!("data: {}{rest}", "x".repeat(2 * MAX_EVENT_BYTES));
+    assert_eq!(ends_inside_event(body.as_bytes()), inside);
+}
