--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
+use smallvec::SmallVec;
 use strum::{Display, EnumIter};
 
 use crate::document::Route;
@@ -30,6 +31,8 @@
     pub expected_output_tokens: u32,
     /// Hash of the content; equal for requests that ask for the same work.
     pub fingerprint: u64,
+    /// Hashes of the segments of its prompt that other requests may share.
+    pub segments: SmallVec<[u64; 4]>,
     /// Time at which its caller stops waiting.
     pub deadline: Instant,
 }
--- a/crates/fleet/src/entry/serving/ending.rs
+++ b/crates/fleet/src/entry/serving/ending.rs
@@ -71,10 +71,13 @@
         if matches!(end, End::Answered | End::Dropped) {
             return;
         }
-        let detail = format!(
+        let mut detail = format!(
             "end={end:?} endpoint={target} attempt={} of={} route={}",
             active.attempts, active.route.max_attempts, active.route.name
         );
+        if matches!(end, End::Lost(_)) {
+            detail.push_str(&format!(" segments={:x?}", active.request.segments));
+        }
         let event = journal::Event::new(121, "attempt failed", &*active.request.request_id, detail);
         effects.push(Effect::Log(event));
     }
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -517,6 +517,7 @@
         prompt_tokens: 0,
         expected_output_tokens: 0,
         fingerprint: id,
+        segments: Default::default(),
         deadline: now + CALLER_TIMEOUT,
     }
 }
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -307,6 +307,7 @@
         prompt_tokens: 1000,
         expected_output_tokens: 50,
         fingerprint: id,
+        segments: Default::default(),
         deadline: now + Duration::from_secs(8),
     }
 }
--- a/crates/gateway/src/entry/parsing.rs
+++ b/crates/gateway/src/entry/parsing.rs
@@ -4,7 +4,8 @@
 
 use dotterelhoist_core::clock::Instant;
 use dotterelhoist_fleet::entry::Request;
-use xxhash_rust::xxh3::Xxh3;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use crate::http::RequestHead;
 use crate::protocol::Protocol;
@@ -14,6 +15,8 @@
 /// Number of tokens that a request is expected to generate if it carries no estimate, as a fraction
 /// of its token limit.
 const EXPECTED_OUTPUT_FRACTION: f64 = 0.5;
+/// Number of segments of a prompt that are read; further ones are ignored.
+const MAX_SEGMENTS: usize = 8;
 
 /// Extracts from a request what the reducer needs. Missing or invalid token counts are taken as 0.
 pub(super) fn parse_request<Platform>(
@@ -59,10 +62,19 @@
         expected_output_tokens: hint
             .unwrap_or((f64::from(max_tokens) * EXPECTED_OUTPUT_FRACTION) as u32),
         fingerprint: hasher.digest(),
+        segments: parse_segments(header_text(names.prompt_segments)),
         deadline: parse_deadline(headers.find(names.deadline), DEFAULT_CALLER_TIMEOUT, now),
     }
 }
 
+/// Hashes of the segments of a prompt that other requests may share: all but the last one.
+fn parse_segments(header: &str) -> SmallVec<[u64; 4]> {
+    let Some((shared, _)) = header.rsplit_once(',') else { return SmallVec::new() };
+    let ids = shared.split(',').filter_map(|entry| entry.split(':').next());
+    let ids = ids.map(str::trim).filter(|id| !id.is_empty());
+    ids.take(MAX_SEGMENTS).map(|id| xxh3_64(id.to_ascii_lowercase().as_bytes())).collect()
+}
+
 /// Time at which a caller stops waiting. `header` is the value of its deadline header in
 /// milliseconds from `now`; if it is missing or invalid, the deadline is `default` after `now`.
 fn parse_deadline(header: Option<&str>, default: Duration, now: Instant) -> Instant {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -15,6 +15,9 @@
     pub model: &'static str,
     /// Number of prompt tokens and limit of tokens to generate, separated by a comma.
     pub token_counts: &'static str,
+    /// Segments of the prompt in their order, as `ID:TOKENS` separated by commas. The last one belongs
+    /// to the request or its session.
+    pub prompt_segments: &'static str,
     /// Estimate of the number of tokens to generate.
     pub output_tokens_hint: &'static str,
     /// Identity of the endpoint that the request is meant for; another endpoint at the same address
