--- a/crates/fleet/tests/deployment/main.rs
+++ b/crates/fleet/tests/deployment/main.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+mod crashing;
 mod documents;
 mod limits;
 mod network;
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -15,8 +15,9 @@
 use dotterelhoist_fleet::control::{self, Answer, Reader};
 use dotterelhoist_fleet::document::{Document, Draft, Finding, Kind, Route, Service, Share};
 use dotterelhoist_fleet::endpoint::Heartbeat;
-use dotterelhoist_fleet::entry::{self, Attempt, Decision, End, Refusal, Request};
+use dotterelhoist_fleet::entry::{self, Attempt, Decision, End, Loss, Refusal, Request};
 use dotterelhoist_fleet::message::{Body, Frame, Hello};
+use dotterelhoist_fleet::probe;
 use dotterelhoist_fleet::Name;
 use prost::Message;
 
@@ -28,6 +29,14 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Time for which callers wait.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time from the end of an endpoint to its next start.
+const RESTART_TIME: Duration = Duration::from_millis(1500);
+/// Prompt segment of all requests.
+const COMMON_SEGMENT: u64 = 1;
+/// Prompt segment that ends the endpoints which run a request with it.
+const CRASHING_SEGMENT: u64 = 2;
+/// Number of further prompt segments, of which each other request has one.
+const SOUND_SEGMENTS: u64 = 20;
 const SERVICE: &str = "desk";
 const HOST: &str = "families.example";
 
@@ -88,6 +97,43 @@
     sequence: u64,
     /// Number of its starts.
     starts: u64,
+    /// Until when it is down; none if it has never ended.
+    down_until: Option<Instant>,
+    /// Requests in flight there, with the daemon that sent each.
+    in_flight: BTreeMap<u64, Name>,
+}
+
+/// Requests that end the endpoints which run them, and what became of the others.
+#[derive(Debug, Default)]
+pub struct Crashing {
+    /// Each request whose number is a multiple of this has [`CRASHING_SEGMENT`]; none if no request has.
+    pub every: Option<u64>,
+    /// When endpoints ended because of it.
+    pub ends: Vec<Instant>,
+    /// When requests with it reached endpoints.
+    pub arrivals: Vec<Instant>,
+    /// The other requests that have ended.
+    pub sound: Vec<Sound>,
+}
+
+/// A request that ends no endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Sound {
+    /// When it arrived at an entry daemon.
+    pub arrived_at: Instant,
+    pub served: bool,
+}
+
+impl Crashing {
+    fn is_crashing(&self, id: u64) -> bool {
+        self.every.is_some_and(|every| id.is_multiple_of(every))
+    }
+
+    fn record_end(&mut self, id: u64, arrived_at: Instant, served: bool) {
+        if !self.is_crashing(id) {
+            self.sound.push(Sound { arrived_at, served });
+        }
+    }
 }
 
 /// A document of [`LineReader`] with routes of random names, each of about 230 bytes.
@@ -122,6 +168,12 @@
     Request(u64),
     /// An endpoint has answered the request.
     Answered(u64, Name),
+    /// An attempt to send the request to an endpoint has ended like this.
+    Ended(u64, End),
+    /// The endpoint ends, and starts again after [`RESTART_TIME`].
+    Crash(Name),
+    /// A probe of the endpoint with this identity has arrived there.
+    Probe(Name),
     /// The endpoint with this identity sends a heartbeat to the daemon.
     Heartbeat(Name),
 }
@@ -182,6 +234,9 @@
     pub answered: usize,
     /// Control daemons that are suspended; what is sent to them is lost.
     pub down: BTreeSet<Name>,
+    /// Entry daemons that reach no endpoint.
+    pub cut: BTreeSet<Name>,
+    pub crashing: Crashing,
     /// Requests for slots that entry daemons have sent.
     pub slot_requests: usize,
     /// When each request arrived that has no final response.
@@ -208,6 +263,8 @@
             refusals: Vec::new(),
             answered: 0,
             down: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            crashing: Crashing::default(),
             slot_requests: 0,
             running: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -225,6 +282,23 @@
     }
 
     fn start_control(&mut self, index: usize) {
+        self.open_control(index, 0);
+        let offset = Duration::from_millis(index as u64);
+        self.after(TICK + offset, &control_name(index), Occurrence::Tick);
+    }
+
+    /// Starts a control daemon with an empty disk, in place of the one that has run so far.
+    /// `disk` is a number that no disk of it has had.
+    pub fn restart_control(&mut self, index: usize, disk: u32) {
+        self.open_control(index, disk);
+        for entry in 0..self.shape.entry_daemons {
+            let (daemon, zone) = (entry_name(entry).to_string(), zone(entry).to_string());
+            let hello = Hello { daemon, zone, control: false };
+            self.after(LATENCY, &control_name(index), Occurrence::Connected(hello));
+        }
+    }
+
+    fn open_control(&mut self, index: usize, disk: u32) {
         let name = control_name(index);
         let names: Vec<Name> = (0..self.shape.control_daemons).map(control_name).collect();
         let initial_voters = names.iter().take(3).map(|name| Voter {
@@ -241,7 +315,7 @@
             voter_count: 5,
             times: Times { heartbeat_interval: second, stall_timeout: second * 4 },
         };
-        let replica = format!("{name}#0").into();
+        let replica = format!("{name}#{disk}").into();
         let identity = Identity { replica, daemon: name.clone(), weight: 1, electable: true };
         let mut effects = Vec::new();
         let state = control::State::open(
@@ -254,10 +328,20 @@
         );
         self.control.insert(name.clone(), state);
         self.carry_out_control(&name, effects);
-        self.after(TICK + Duration::from_millis(index as u64), &name, Occurrence::Tick);
     }
 
     fn start_entry(&mut self, index: usize) {
+        self.open_entry(index);
+        let offset = Duration::from_micros(index as u64 * 300);
+        self.after(TICK + offset, &entry_name(index), Occurrence::Tick);
+    }
+
+    /// Starts an entry daemon without a state, in place of the one that has run so far.
+    pub fn restart_entry(&mut self, index: usize) {
+        self.open_entry(index);
+    }
+
+    fn open_entry(&mut self, index: usize) {
         let name = entry_name(index);
         let zone = zone(index);
         let setup = entry::Setup {
@@ -275,7 +359,41 @@
             let hello = Hello { daemon: peer.to_string(), control: true, ..Hello::default() };
             self.after(LATENCY, &name, Occurrence::Connected(hello));
         }
-        self.after(TICK + Duration::from_micros(index as u64 * 300), &name, Occurrence::Tick);
+    }
+
+    /// Cuts an entry daemon off from all endpoints, with resets: what it has in flight is lost.
+    pub fn cut_entry(&mut self, index: usize) {
+        let name = entry_name(index);
+        let ids: Vec<Name> = self.endpoints.keys().cloned().collect();
+        for id in ids {
+            self.lose_in_flight(&id, |daemon| *daemon == name);
+        }
+        self.cut.insert(name);
+    }
+
+    /// Ends an endpoint, which starts again after [`RESTART_TIME`] under its identity.
+    pub fn crash(&mut self, id: &Name) {
+        self.lose_in_flight(id, |_| true);
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        endpoint.starts += 1;
+        endpoint.limit = None;
+        endpoint.down_until = Some(self.now + RESTART_TIME);
+    }
+
+    /// Loses the requests that some entry daemons have in flight at an endpoint.
+    fn lose_in_flight<Chosen>(&mut self, id: &Name, is_chosen: Chosen)
+    where
+        Chosen: Fn(&Name) -> bool,
+    {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let in_flight = std::mem::take(&mut endpoint.in_flight);
+        let (lost, kept) = in_flight.into_iter().partition(|(_, daemon)| is_chosen(daemon));
+        endpoint.in_flight = kept;
+        let lost: BTreeMap<u64, Name> = lost;
+        for (request, daemon) in lost {
+            let ended = Occurrence::Ended(request, End::Lost(Loss::Failed));
+            self.after(LATENCY, &daemon, ended);
+        }
     }
 
     /// Starts an endpoint, or starts it again under its identity. It sends its heartbeats to the
@@ -352,6 +470,11 @@
         if matches!(occurrence, Occurrence::Tick) {
             self.after(TICK, &daemon, Occurrence::Tick);
         }
+        if let Occurrence::Crash(id) = &occurrence {
+            self.crashing.ends.push(self.now);
+            self.crash(id);
+            return;
+        }
         if self.down.contains(&daemon) {
             if let Occurrence::Heartbeat(id) = occurrence {
                 let running = self.control.keys().find(|name| !self.down.contains(*name)).cloned();
@@ -369,9 +492,19 @@
                 Occurrence::Persisted(sequence) => control::Event::Persisted(sequence),
                 Occurrence::Heartbeat(id) => {
                     self.after(HEARTBEAT_INTERVAL, &daemon, Occurrence::Heartbeat(id.clone()));
+                    if self.is_down(&id) {
+                        return;
+                    }
                     control::Event::Heartbeat(Box::new(self.heartbeat(&id)))
                 }
-                Occurrence::Request(_) | Occurrence::Answered(..) => return,
+                Occurrence::Probe(id) => {
+                    let outcome = match self.is_down(&id) {
+                        true => probe::Outcome::Refused,
+                        false => probe::Outcome::Report(Box::new(self.heartbeat(&id))),
+                    };
+                    control::Event::ProbeFinished { id, outcome }
+                }
+                _ => return,
             };
             self.apply_control(&daemon, event);
             return;
@@ -382,20 +515,27 @@
             Occurrence::Connected(hello) => entry::Event::Connected(hello.daemon.as_str().into()),
             Occurrence::Request(id) => {
                 self.running.insert(id, self.now);
-                entry::Event::RequestArrived(Box::new(request(id, self.now)))
+                entry::Event::RequestArrived(Box::new(self.request(id)))
             }
+            Occurrence::Ended(id, end) => entry::Event::AttemptEnded(id, end),
             Occurrence::Answered(id, endpoint) => {
-                let limit = self.endpoints[&endpoint].limit;
+                let sent = self.endpoints.get_mut(&endpoint).expect("it exists");
+                if sent.in_flight.remove(&id).is_none() {
+                    return;
+                }
+                let limit = sent.limit;
                 if limit.is_some() {
                     let told = &mut self.endpoints.get_mut(&endpoint).expect("it exists").told;
                     told.entry(daemon.clone()).or_insert(self.now);
                 }
                 self.apply_entry(&daemon, entry::Event::LimitStated(endpoint, limit));
-                self.running.remove(&id);
+                if let Some(arrived_at) = self.running.remove(&id) {
+                    self.crashing.record_end(id, arrived_at, true);
+                }
                 self.answered += 1;
                 entry::Event::AttemptEnded(id, End::Answered)
             }
-            Occurrence::Persisted(_) | Occurrence::Heartbeat(_) => return,
+            _ => return,
         };
         self.apply_entry(&daemon, event);
     }
@@ -410,6 +550,7 @@
                 entry::Effect::Decide(id, Decision::Send(attempt)) => self.run(daemon, id, attempt),
                 entry::Effect::Decide(id, Decision::Refuse(refusal)) => {
                     if let Some(arrived_at) = self.running.remove(&id) {
+                        self.crashing.record_end(id, arrived_at, false);
                         self.refusals.push((self.now.since(arrived_at), refusal));
                     }
                 }
@@ -420,10 +561,24 @@
 
     /// Runs a request at an endpoint.
     fn run(&mut self, daemon: &Name, id: u64, attempt: Attempt) {
-        if let Some(endpoint) = self.endpoints.get_mut(&attempt.target) {
-            endpoint.arrivals.push((self.now, daemon.clone()));
-            self.after(RUN_TIME, daemon, Occurrence::Answered(id, attempt.target));
+        if self.is_down(&attempt.target) || self.cut.contains(daemon) {
+            self.after(LATENCY * 2, daemon, Occurrence::Ended(id, End::Unreachable));
+            return;
         }
+        let Some(endpoint) = self.endpoints.get_mut(&attempt.target) else { return };
+        endpoint.arrivals.push((self.now, daemon.clone()));
+        endpoint.in_flight.insert(id, daemon.clone());
+        if self.crashing.is_crashing(id) {
+            self.crashing.arrivals.push(self.now);
+            self.after(RUN_TIME, daemon, Occurrence::Crash(attempt.target));
+            return;
+        }
+        self.after(RUN_TIME, daemon, Occurrence::Answered(id, attempt.target));
+    }
+
+    fn is_down(&self, id: &Name) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_none_or(|endpoint| endpoint.down_until.is_some_and(|until| self.now < until))
     }
 
     fn heartbeat(&mut self, id: &Name) -> Heartbeat {
@@ -455,6 +610,9 @@
                 control::Effect::Persist(sequence, _) => {
                     self.after(SYNC_TIME, daemon, Occurrence::Persisted(sequence));
                 }
+                control::Effect::Probe { id, .. } => {
+                    self.after(LATENCY * 2, daemon, Occurrence::Probe(id));
+                }
                 control::Effect::Answer(ticket, answer) => {
                     self.answers.insert(ticket, (self.now, answer));
                 }
@@ -495,6 +653,27 @@
         Duration::from_secs_f64(bytes as f64 / bandwidth)
     }
 
+    /// A request that arrives now. Its last segment is its own and therefore not listed.
+    fn request(&self, id: u64) -> Request {
+        let segment = match self.crashing.is_crashing(id) {
+            true => CRASHING_SEGMENT,
+            false => 10 + id % SOUND_SEGMENTS,
+        };
+        Request {
+            id,
+            request_id: format!("r{id}").into(),
+            host: HOST.into(),
+            path: "/x".into(),
+            key: None,
+            model: "".into(),
+            prompt_tokens: 0,
+            expected_output_tokens: 0,
+            fingerprint: id,
+            segments: [COMMON_SEGMENT, segment].into_iter().collect(),
+            deadline: self.now + CALLER_TIMEOUT,
+        }
+    }
+
     fn after(&mut self, span: Duration, daemon: &Name, occurrence: Occurrence) {
         self.at(self.now + span, daemon, occurrence);
     }
@@ -506,22 +685,6 @@
     }
 }
 
-fn request(id: u64, now: Instant) -> Request {
-    Request {
-        id,
-        request_id: format!("r{id}").into(),
-        host: HOST.into(),
-        path: "/x".into(),
-        key: None,
-        model: "".into(),
-        prompt_tokens: 0,
-        expected_output_tokens: 0,
-        fingerprint: id,
-        segments: Default::default(),
-        deadline: now + CALLER_TIMEOUT,
-    }
-}
-
 fn zone(index: usize) -> Name {
     ["a", "b", "c"][index % 3].into()
 }
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -14,6 +14,7 @@
 use smol::net::TcpStream;
 use tempfile::TempDir;
 
+use crate::crashes::Crashes;
 use crate::cuts::Cuts;
 use crate::engine::{unlimited, Engine, Handle, Limit, Rest, Runs, Silence};
 use crate::floods::Flood;
@@ -156,6 +157,8 @@
     rest: Arc<Mutex<Rest>>,
     /// Streams that end in an unusual way.
     pub cuts: Cuts,
+    /// Requests that end engines.
+    pub crashes: Crashes,
     /// Whether engines send interim responses without end after they have carried out an order.
     pub endless_orders: Arc<AtomicBool>,
     /// Number of labels that [`Deployment::unique_label`] has returned.
@@ -191,6 +194,7 @@
             silence: Silence::default(),
             rest: Arc::default(),
             cuts: Cuts::default(),
+            crashes: Crashes::default(),
             endless_orders: Arc::default(),
             label_count: AtomicU64::new(0),
         };
@@ -210,6 +214,7 @@
                 silence: deployment.silence.clone(),
                 rest: deployment.rest.clone(),
                 cuts: deployment.cuts.clone(),
+                crashes: deployment.crashes.clone(),
                 endless_orders: deployment.endless_orders.clone(),
             };
             deployment.engines.push(Some(engine.start()));
@@ -356,6 +361,17 @@
         self.send(self.entry_address(PORTS.callers), "POST", STREAM_PATH, &headers, "prompt")
     }
 
+    /// Sends a request on the streaming route whose prompt has these segments.
+    pub fn stream_with_prompt(&self, id: &str, segments: &str) -> Option<Reply> {
+        let headers = format!(
+            "Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {API_KEY}\r\n\
+             Dotterelhoist-Deadline-Ms: 6000\r\nDotterelhoist-Model: m\r\n\
+             Dotterelhoist-Prompt-Prefix: {segments}\r\n"
+        );
+        let address = self.entry_address(PORTS.callers);
+        self.send(address, "POST", STREAM_PATH, &headers, &format!("prompt of {id}"))
+    }
+
     /// Sends a request on the streaming route and returns what arrives of the response; none if there
     /// is no head within the timeout.
     pub fn receive(&self, id: &str) -> Option<Received> {
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -14,11 +14,14 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
+use super::crashes::{Crashes, RESTART_TIME};
 use super::cuts::{Cut, Cuts, Framing};
 use super::floods::{self, Flood};
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two checks whether a request has ended it.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Number of events of a stream whose request body states none.
@@ -139,6 +142,8 @@
     pub rest: Arc<Mutex<Rest>>,
     /// Streams that end in an unusual way, shared by all stand-ins.
     pub cuts: Cuts,
+    /// Requests that end it, shared by all stand-ins.
+    pub crashes: Crashes,
     /// Whether it sends interim responses without end after it has carried out an order, shared by
     /// all stand-ins.
     pub endless_orders: Arc<AtomicBool>,
@@ -155,6 +160,8 @@
     staged: Vec<String>,
     /// Sequence number of the last heartbeat.
     sequence: u64,
+    /// Whether it ends.
+    ends: bool,
 }
 
 type Shared = Rc<Mutex<Inner>>;
@@ -166,34 +173,58 @@
 }
 
 impl Engine {
-    /// Starts the stand-in in a thread of its own.
+    /// Starts the stand-in in a thread of its own. After it has ended because of a request, it starts
+    /// again under another identity.
     pub fn start(self) -> Handle {
         let (stop, stopped) = smol::channel::bounded::<()>(1);
         std::thread::spawn(move || {
-            let executor = Rc::new(smol::LocalExecutor::new());
-            let serve = self.serve(executor.clone());
-            let run = async {
-                let stop_requested = async {
-                    stopped.recv().await.ok();
-                };
-                futures_lite::FutureExt::or(serve, stop_requested).await;
-            };
-            smol::block_on(executor.run(run));
+            let mut engine = self;
+            let identity = engine.id.clone();
+            for number in 1.. {
+                if !engine.clone().run_until_end(&stopped) {
+                    return;
+                }
+                engine.crashes.record_end();
+                engine.id = format!("{identity}-{number}");
+                std::thread::sleep(RESTART_TIME);
+            }
         });
         Handle { _stop: stop }
     }
 
-    /// Accepts connections and sends heartbeats until the future is dropped.
+    /// Runs the stand-in, and returns whether it has ended by itself before it was stopped.
+    fn run_until_end(self, stopped: &smol::channel::Receiver<()>) -> bool {
+        let executor = Rc::new(smol::LocalExecutor::new());
+        let serve = async {
+            self.serve(executor.clone()).await;
+            true
+        };
+        let stop_requested = async {
+            stopped.recv().await.ok();
+            false
+        };
+        smol::block_on(executor.run(futures_lite::FutureExt::or(serve, stop_requested)))
+    }
+
+    /// Accepts connections and sends heartbeats until a request ends it or the future is dropped.
     async fn serve(self, executor: Rc<smol::LocalExecutor<'static>>) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
         let address = listener.local_addr().expect("a bound listener has a local address");
         let shared = Shared::default();
         executor.spawn(send_heartbeats(self.clone(), address, shared.clone())).detach();
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { return };
-            let (engine, shared) = (self.clone(), shared.clone());
-            executor.spawn(async move { engine.serve_connection(stream, &shared).await }).detach();
-        }
+        let accepting = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (engine, shared) = (self.clone(), shared.clone());
+                let serve = async move { engine.serve_connection(stream, &shared).await };
+                executor.spawn(serve).detach();
+            }
+        };
+        let ended = async {
+            while shared.lock().is_ok_and(|inner| !inner.ends) {
+                Timer::after(END_CHECK_INTERVAL).await;
+            }
+        };
+        futures_lite::FutureExt::or(accepting, ended).await;
     }
 
     /// Serves the requests of one connection until it is closed.
@@ -216,7 +247,7 @@
                     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                     connection.write(format!("{head}{body}").as_bytes()).await.ok()?;
                 }
-                _ => self.run(&mut connection, &head, &body).await?,
+                _ => self.run(&mut connection, &head, &body, shared).await?,
             }
             if !head.keep_alive {
                 return Some(());
@@ -233,6 +264,7 @@
         connection: &mut Connection,
         head: &RequestHead,
         body: &[u8],
+        shared: &Shared,
     ) -> Option<()> {
         let id = head.headers.find("dotterelhoist-request-id")?.to_owned();
         let expected = head.headers.find("dotterelhoist-expect-instance")?;
@@ -255,6 +287,11 @@
         if let Ok(mut runs) = self.runs.lock() {
             *runs.entry(id.clone()).or_default() += 1;
         }
+        if self.crashes.arrive(&head.headers) {
+            Timer::after(EVENT_INTERVAL).await;
+            shared.lock().ok()?.ends = true;
+            return std::future::pending().await;
+        }
         let common_headers =
             format!("Dotterelhoist-Request-Id: {id}\r\nDotterelhoist-Response-Seal: s.{id}");
         if self.service == "desk" {
