Bar prompt segments under which endpoints end, by a judge of lost responses

An entry daemon that reached no endpoint took all for ended.

Entry daemons now report lost responses with the features of their requests (content, prompt segments but the last) and, when asked, answers that survived. Control daemons alone judge: an end needs evidence and counts once; a feature is barred after three ends without a survival while others of the service survive. Bars are told to daemons that lack them and end after ten minutes. What is sent to and taken from older builds keeps its meaning.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -14,6 +14,7 @@
 use dotterelhoist_core::replica::{Identity, Output, Replica, Stored, Timing, Write};
 use prost::Message;
 
+use crate::crash::judge::Judge;
 use crate::document::{Document, Finding};
 use crate::endpoint::Heartbeat;
 use crate::journal;
@@ -23,6 +24,7 @@
 use crate::probe;
 use crate::Name;
 
+pub mod crashes;
 pub mod distribution;
 pub mod endpoints;
 pub mod limits;
@@ -196,6 +198,8 @@
     endpoints: endpoints::Table,
     planner: Planner,
     distributor: Distributor,
+    /// Judges what lost responses are evidence of.
+    judge: Judge,
     /// Limits that endpoints state.
     limits: Limits,
     /// All other control daemons that this one knows of and connects to.
@@ -252,6 +256,7 @@
         let mut state = State {
             planner: Planner::new(setup.times),
             distributor: Distributor::default(),
+            judge: Judge::default(),
             limits: Limits::default(),
             reader,
             replica,
@@ -339,6 +344,7 @@
         self.forward_heartbeats(now, effects);
         self.endpoints.remove_expired(now);
         self.limits.expire(now, &self.endpoints);
+        self.judge_crashes(now, effects);
         let leads = self.replica.can_serve_reads(now);
         if leads != self.leading {
             self.leading = leads;
@@ -401,6 +407,7 @@
                 for limit in &report.limits {
                     self.limits.record(now, limit, &self.endpoints);
                 }
+                self.judge.record_report(now, &report);
                 self.distributor.record_report(now, &from, report);
             }
             Body::Reserve(reserve) => self.assign_slot(now, from, reserve, effects),
@@ -451,6 +458,13 @@
         outcome: probe::Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        match &outcome {
+            probe::Outcome::Report(heartbeat) => {
+                self.judge.record_answer(id, Some(heartbeat.started_unix_ms));
+            }
+            probe::Outcome::Answered => self.judge.record_answer(id, None),
+            probe::Outcome::Refused | probe::Outcome::Unanswered => {}
+        }
         let Some(endpoint) = self.endpoints.find_mut(id) else { return };
         let refused = match outcome {
             probe::Outcome::Refused => true,
--- /dev/null
+++ b/crates/fleet/src/control/crashes.rs
@@ -0,0 +1,72 @@
+//! Evidence of the ends of endpoints, for the [`Judge`](crate::crash::judge::Judge).
+
+use std::time::Duration;
+
+use dotterelhoist_core::clock::Instant;
+
+use crate::crash::judge::{Evidence, Incarnation, Verdict};
+use crate::journal;
+
+use super::{Effect, State};
+
+/// Time by which reports of progress and refused connections, and of lost responses, may be dated
+/// differently.
+const PROGRESS_MARGIN: Duration = Duration::from_millis(150);
+
+impl<Decoder> State<Decoder> {
+    /// Judges the losses that entry daemons have reported, and probes endpoints whose end is not certain.
+    pub(super) fn judge_crashes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let mut judge = std::mem::take(&mut self.judge);
+        let findings =
+            judge.judge(now, |incarnation, lost_at| self.evidence(now, incarnation, lost_at));
+        self.judge = judge;
+        for Incarnation { endpoint, started_unix_ms } in findings.ended {
+            let detail = format!("started_unix_ms={started_unix_ms}");
+            let event =
+                journal::Event::new(213, "endpoint ended with requests", &*endpoint, detail);
+            effects.push(Effect::Log(event));
+        }
+        for Verdict { feature, ends } in findings.verdicts {
+            let subject = format!("{:x}", feature.0);
+            let detail = format!("ends={ends}");
+            effects.push(Effect::Log(journal::Event::new(214, "requests barred", subject, detail)));
+        }
+        for id in findings.probes {
+            let Some(endpoint) = self.endpoints.find(&id) else { continue };
+            let address = endpoint.heartbeat.address.as_str().into();
+            effects.push(Effect::Probe { id, address });
+        }
+        if findings.changed {
+            self.distributor.expedite_statuses();
+        }
+    }
+
+    /// What is known of an incarnation that lost its first response at `lost_at`. A refused connection is
+    /// no proof by itself, since a network partition may reset connections: no entry daemon may have seen
+    /// the endpoint make progress since.
+    fn evidence(&self, now: Instant, incarnation: &Incarnation, lost_at: Instant) -> Evidence {
+        let Some(endpoint) = self.endpoints.find(&incarnation.endpoint) else {
+            return Evidence::Unreachable;
+        };
+        let heartbeat = &endpoint.heartbeat;
+        if heartbeat.draining {
+            return Evidence::NoCrash;
+        }
+        if endpoint.confirmed_dead || heartbeat.started_unix_ms > incarnation.started_unix_ms {
+            return Evidence::Ended;
+        }
+        let progressed_at = self.distributor.progress().get(&incarnation.endpoint);
+        if heartbeat.gone || progressed_at.is_some_and(|at| at.since(lost_at) > PROGRESS_MARGIN) {
+            return Evidence::NoCrash;
+        }
+        if self.reachability.may_be_unreachable(&heartbeat.zone, now) {
+            return Evidence::Unreachable;
+        }
+        let refused_at =
+            endpoint.outage.filter(|outage| outage.refused).map(|outage| outage.last_failure);
+        match refused_at.is_some_and(|at| at + PROGRESS_MARGIN >= lost_at) {
+            true => Evidence::Ended,
+            false => Evidence::Unknown,
+        }
+    }
+}
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -10,7 +10,6 @@
 
 use dotterelhoist_core::clock::Instant;
 
-use crate::crash::Crashes;
 use crate::endpoint::Stage;
 use crate::journal;
 use crate::message::{Body, Fetch, Loads, Report, Status, Target, View};
@@ -94,8 +93,6 @@
     suspects: BTreeMap<Name, Instant>,
     /// Whether any entry daemon has reported requests of callers.
     traffic: bool,
-    /// Requests that may crash the endpoints that run them.
-    crashes: Crashes,
     documents: Documents,
 }
 
@@ -140,9 +137,6 @@
         for id in &report.suspects {
             self.suspects.insert(id.as_str().into(), now);
         }
-        for fingerprint in &report.crashed {
-            self.crashes.record(*fingerprint, now);
-        }
         self.traffic |= report.traffic;
         subscriber.reported_at = now;
         subscriber.report = report;
@@ -162,6 +156,13 @@
         }
     }
 
+    /// Makes the next status of all entry daemons due at once.
+    pub(super) fn expedite_statuses(&mut self) {
+        for subscriber in self.subscribers.values_mut() {
+            subscriber.status_due = Instant::default();
+        }
+    }
+
     /// Average demand for each model.
     pub fn demand(&self) -> &Demands {
         &self.demand
@@ -182,7 +183,7 @@
         &self.suspects
     }
 
-    /// Decays the average demand, and removes expired reports of progress, suspicions and crashes.
+    /// Decays the average demand, and removes expired reports of progress and suspicions.
     /// Does nothing within 50 ms of the last decay.
     fn decay(&mut self, now: Instant) {
         let passed = now.since(self.decayed_at).as_secs_f64();
@@ -195,7 +196,6 @@
             work.busy_groups *= factor;
             work.requests_per_second *= factor;
         }
-        self.crashes.expire(now);
         self.progress.retain(|_, at| now.since(*at) < REPORT_TTL * 4);
         self.suspects.retain(|_, at| now.since(*at) < SUSPECT_TTL);
     }
@@ -281,12 +281,16 @@
     /// Builds the status of this daemon.
     fn status(&self, now: Instant) -> Status {
         let own = std::iter::once(&self.setup.daemon);
+        let bars = self.judge.bars(now);
         Status {
             up_to_date: self.replica.is_up_to_date(now),
             version: self.state_machine.version(),
             control_daemons: own.chain(&self.control_daemons).map(ToString::to_string).collect(),
             entry_daemons: self.distributor.subscribers.len() as u32,
-            crashing: self.distributor.crashes.refused(),
+            crashing: bars.iter().map(|bar| bar.feature).collect(),
+            suspected: self.judge.suspected(),
+            bars,
+            judges: true,
             leads: self.replica.leads(now),
             document_age_ms: now.since(self.distributor.documents.applied_at).as_millis() as u32,
         }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -5,17 +5,19 @@
 //! ([`queue`]) and limits retries ([`budget`]). The shell transfers the bytes of requests and
 //! responses, and reports how each attempt ended.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
 
 use crate::control::Reader;
-use crate::crash::Losses;
+use crate::crash::bars::Bars;
+use crate::crash::losses::Losses;
+use crate::crash::older;
 use crate::document::{Access, Document, Route, Workspace};
 use crate::journal;
-use crate::message::{Body, Status};
+use crate::message::{Bar, Body, Status};
 use crate::patch::Original;
 use crate::Name;
 
@@ -25,6 +27,7 @@
 pub mod request;
 pub mod targets;
 
+mod barring;
 mod fetching;
 mod hedging;
 mod limits;
@@ -138,6 +141,12 @@
     fn version(&self) -> u64 {
         self.status.as_ref().map_or(0, |status| status.version)
     }
+
+    /// The bars that it did not state in its newest status; none if it takes no bars.
+    fn lacks(&self, bars: &Bars, now: Instant) -> Vec<Bar> {
+        let status = self.status.as_ref().filter(|status| status.judges);
+        status.map_or_else(Vec::new, |status| bars.list_unknown(now, &status.bars))
+    }
 }
 
 /// The state of an entry daemon.
@@ -174,11 +183,13 @@
     /// When the last request with each requirement arrived while endpoints had limits.
     last_arrivals: BTreeMap<Requirement, Instant>,
     losses: Losses,
-    /// Fingerprints of requests that have crashed endpoints, to be sent with the next report.
+    /// The same for control daemons of older builds.
+    older_losses: older::Losses,
+    /// Fingerprints of requests that have crashed endpoints, for control daemons of older builds, to be
+    /// sent with the next report.
     unreported_crashes: Vec<u64>,
-    /// Fingerprints of requests to refuse because they have repeatedly crashed endpoints; never
-    /// removed.
-    crashing: BTreeSet<u64>,
+    /// Features whose requests are refused.
+    bars: Bars,
     /// Work requested since the last report, by service and model.
     demand: Workload,
     /// What has not been reported to the control daemons that are not selected.
@@ -225,8 +236,9 @@
             leader_seen_at: now,
             last_arrivals: BTreeMap::new(),
             losses: Losses::default(),
+            older_losses: older::Losses::default(),
             unreported_crashes: Vec::new(),
-            crashing: BTreeSet::new(),
+            bars: Bars::default(),
             demand: BTreeMap::new(),
             unsent: Unsent::default(),
             report_round: 0,
@@ -353,7 +365,7 @@
         for daemon in &status.control_daemons {
             effects.push(Effect::Dial(daemon.as_str().into()));
         }
-        self.crashing.extend(&status.crashing);
+        self.apply_bars(now, &status, effects);
         let entry_daemons = f64::from(status.entry_daemons.max(1));
         self.budget.set_burst(self.setup.retry_slack * RETRY_SLACK_FACTOR / entry_daemons);
         if let Some(source) = self.sources.get_mut(&from) {
@@ -418,8 +430,10 @@
         self.last_tick = now;
         self.hedge_stalled_attempts(now, effects);
         let targets = &self.targets;
-        self.unreported_crashes
-            .extend(self.losses.take_crashed(now, |id| targets.has_probably_terminated(id, now)));
+        let crashed =
+            self.older_losses.take_crashed(now, |id| targets.has_probably_terminated(id, now));
+        self.unreported_crashes.extend(crashed);
+        self.bars.expire(now);
         self.refuse_expired(now, effects);
         self.send_queued(now, effects);
         self.request_slots(now, effects);
@@ -436,7 +450,7 @@
         now: Instant,
         request: &Request,
     ) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Reason> {
-        if self.crashing.contains(&request.fingerprint) {
+        if self.is_request_barred(request) {
             return Err(Reason::Crashing);
         }
         let Some(document) = self.document() else { return Err(Reason::Starting) };
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -88,7 +88,7 @@
         let event =
             journal::Event::new(124, "second attempt took over", &*request.request_id, detail);
         effects.push(Effect::Log(event));
-        self.losses.record_silence(request.fingerprint, first, now);
+        self.record_silence(now, id, &first);
         self.send_queued(now, effects);
     }
 
@@ -132,7 +132,7 @@
         effects: &mut Vec<Effect>,
     ) -> bool {
         let Some(active) = self.requests.get(&id) else { return false };
-        if !active.may_be_hedged(now, silence) {
+        if !active.may_be_hedged(now, silence) || self.is_request_barred(&active.request) {
             return false;
         }
         let random = self.next_random();
--- a/crates/fleet/src/entry/reporting.rs
+++ b/crates/fleet/src/entry/reporting.rs
@@ -2,6 +2,7 @@
 
 use dotterelhoist_core::clock::Instant;
 
+use crate::crash::losses::loss_list;
 use crate::message::{Body, Report, Running};
 
 use super::limits::limit_list;
@@ -14,13 +15,20 @@
 
 impl<Decoder> State<Decoder> {
     /// Sends a report to the selected control daemon. The others get one in every nth round, with n
-    /// from [`State::rounds_per_report_to_all`], and at once if there is a new suspicion or a
-    /// crash, since any of them may be the leader.
+    /// from [`State::rounds_per_report_to_all`], and at once if there is a new suspicion or loss, since
+    /// any of them may be the leader.
     pub(super) fn send_reports(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let demand = std::mem::take(&mut self.demand);
         let progress = self.targets.take_progress();
         let limits = self.targets.limits.take_unreported();
         self.unsent.add(&demand, &progress, &limits);
+        let suspected = self.suspected_features();
+        let service_survivals = match suspected.is_empty() {
+            true => Vec::new(),
+            false => self.losses.service_survivals(now),
+        };
+        let targets = &self.targets;
+        let losses = self.losses.take_due(now, |id| targets.last_part(id));
         let report = Report {
             running: self
                 .targets
@@ -34,19 +42,29 @@
             progress,
             crashed: std::mem::take(&mut self.unreported_crashes),
             limits: limit_list(now, &limits),
+            losses: loss_list(now, &losses),
+            survivals: self.losses.take_survivals(now, &suspected),
+            service_survivals,
+            bars: Vec::new(),
+            reports_losses: true,
         };
         self.report_round += 1;
         let new_suspect = report.suspects.iter().any(|id| !self.reported_suspects.contains(id));
         let due = self.report_round.is_multiple_of(self.rounds_per_report_to_all());
         let new_limit = std::mem::take(&mut self.limits_changed);
-        let all = due || new_suspect || new_limit || !report.crashed.is_empty();
+        let new_evidence = !report.losses.is_empty() || !report.survivals.is_empty();
+        let new_crash = new_evidence || !report.crashed.is_empty();
+        let unknown_bars =
+            self.sources.values().any(|source| !source.lacks(&self.bars, now).is_empty());
+        let all = due || new_suspect || new_limit || new_crash || unknown_bars;
         self.reported_suspects.clone_from(&report.suspects);
-        for name in self.sources.keys() {
+        for (name, source) in &self.sources {
+            let report = Report { bars: source.lacks(&self.bars, now), ..report.clone() };
             if self.selected.as_ref() == Some(name) {
-                let report = Report { selected: true, ..report.clone() };
+                let report = Report { selected: true, ..report };
                 effects.push(Effect::Send(name.clone(), Body::Report(report)));
             } else if all {
-                let report = self.unsent.fill_report(now, report.clone());
+                let report = self.unsent.fill_report(now, report);
                 effects.push(Effect::Send(name.clone(), Body::Report(report)));
             }
         }
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 use strum::{Display, EnumIter};
 
+use crate::crash::Feature;
 use crate::document::Route;
 use crate::Name;
 
@@ -37,6 +38,13 @@
     pub deadline: Instant,
 }
 
+impl Request {
+    /// What it may have in common with other requests: its content and the segments of its prompt.
+    pub fn features(&self) -> impl Iterator<Item = Feature> + '_ {
+        std::iter::once(&self.fingerprint).chain(&self.segments).map(|hash| Feature(*hash))
+    }
+}
+
 /// One attempt to have an endpoint serve a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
@@ -113,7 +121,8 @@
     TooLate,
     /// Endpoints declined to run it, and no further attempt is allowed or possible.
     Declined,
-    /// Requests with the same content have repeatedly crashed endpoints.
+    /// Requests with the same content, or with the same segment of their prompts, have repeatedly
+    /// crashed endpoints.
     Crashing,
     /// Its response was lost; it may have run.
     Lost,
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -59,6 +59,8 @@
     pub(super) hedge: Option<Name>,
     /// How far the current attempt has come.
     pub(super) phase: Phase,
+    /// When the first part of the response of the current attempt was forwarded; none before.
+    pub(super) begun_at: Option<Instant>,
     /// Whether any part of a response has been sent to the caller.
     pub(super) response_begun: bool,
     /// Whether the shell is writing to the caller, so that it does not read from the endpoint.
@@ -134,6 +136,7 @@
             endpoint: None,
             hedge: None,
             phase: Phase::Sent,
+            begun_at: None,
             response_begun: false,
             writing: false,
             unresumable: false,
@@ -151,6 +154,10 @@
     fn send_or_enqueue(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) {
         let random = self.next_random();
         let Some(active) = self.requests.get(&id) else { return };
+        if self.is_request_barred(&active.request) {
+            self.refuse_active(now, id, Reason::Crashing, effects);
+            return;
+        }
         let requirement = active.requirement.clone();
         let is_retry = active.attempts > 0;
         let choice = self.targets.choose(&requirement, &active.tried, now, random);
@@ -211,6 +218,7 @@
         let Some(active) = self.requests.get_mut(&id) else { return };
         active.endpoint = Some(target);
         active.phase = Phase::Sent;
+        active.begun_at = None;
         effects.push(Effect::Decide(id, Decision::Send(attempt)));
     }
 
@@ -256,12 +264,13 @@
     }
 
     /// Records that the response to a request has begun.
-    pub fn record_response_start(&mut self, id: u64) {
+    pub fn record_response_start(&mut self, id: u64, now: Instant) {
         let Some(active) = self.requests.get_mut(&id) else { return };
         if active.phase == Phase::Begun {
             return;
         }
         active.phase = Phase::Begun;
+        active.begun_at = Some(now);
         active.response_begun = true;
         if let Some(target) = &active.endpoint {
             self.targets.record_response_start(target, active.request.prompt_tokens);
--- a/crates/fleet/src/entry/serving/ending.rs
+++ b/crates/fleet/src/entry/serving/ending.rs
@@ -59,9 +59,7 @@
             }
             End::TimedOut { .. } | End::Dropped | End::Withheld => {}
         }
-        if matches!(end, End::Lost(loss) if loss.is_of_endpoint()) {
-            self.losses.record(active.request.fingerprint, target.clone(), now);
-        }
+        self.record_evidence(now, id, target, end);
         self.log_failed_attempt(id, target, end, effects);
     }
 
--- a/crates/fleet/src/entry/serving/refusing.rs
+++ b/crates/fleet/src/entry/serving/refusing.rs
@@ -65,7 +65,8 @@
         self.release_hedge(&active);
         let possibly_run = active.may_have_run && reason != Reason::TimedOut;
         let reason = if possibly_run { Reason::Lost } else { reason };
-        let retry_after = matches!(reason.status(), 429 | 503).then_some(retry_after);
+        let may_help = reason != Reason::Crashing && matches!(reason.status(), 429 | 503);
+        let retry_after = may_help.then_some(retry_after);
         if active.response_begun {
             let detail = format!("reason={reason} attempts={}", active.attempts);
             let request_id = &*active.request.request_id;
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -90,6 +90,8 @@
     others_backlog: u32,
     /// When it last sent a part of a response, or was sent a request while idle.
     last_progress: Instant,
+    /// When it last sent a part of a response; none if it has sent none.
+    last_part: Option<Instant>,
     /// Moving average of the time between parts of responses, in seconds.
     average_gap_s: f64,
     /// Whether it has sent a part of a response since the last round of reports.
@@ -385,6 +387,7 @@
                 GAP_WEIGHT * (gap.as_secs_f64().min(1.0) - target.average_gap_s);
         }
         target.last_progress = now;
+        target.last_part = Some(now);
         target.progressed = true;
         target.suspected_at = None;
         target.stalled_until = Instant::default();
@@ -432,6 +435,11 @@
         }
     }
 
+    /// When an endpoint last sent a part of a response; none if it is not known.
+    pub(super) fn last_part(&self, id: &Name) -> Option<Instant> {
+        self.targets.get(id)?.last_part
+    }
+
     /// Whether an endpoint has probably terminated: it is no longer in the view, or was unreachable
     /// within `SUSPICION_TTL`.
     pub fn has_probably_terminated(&self, id: &Name, now: Instant) -> bool {
@@ -502,6 +510,7 @@
             backlog: 0,
             others_backlog: 0,
             last_progress: now,
+            last_part: None,
             average_gap_s: INITIAL_GAP.as_secs_f64(),
             progressed: false,
             failure_rate: 0.0,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -66,7 +66,8 @@
     /// Number of entry daemons connected to it.
     #[prost(uint32, tag = "4")]
     pub entry_daemons: u32,
-    /// Fingerprints of requests to refuse, because the endpoints that ran them crashed repeatedly.
+    /// Fingerprints of requests to refuse, because the endpoints that ran them crashed repeatedly; for
+    /// entry daemons of older builds, which ignore `bars`.
     #[prost(fixed64, repeated, tag = "5")]
     pub crashing: Vec<u64>,
     /// Milliseconds since the sender applied its document.
@@ -75,6 +76,68 @@
     /// Whether the sender leads, and assigns the slots of endpoints with a limit.
     #[prost(bool, tag = "7")]
     pub leads: bool,
+    /// Features of which the sender wants to know whether answers survived.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub suspected: Vec<u64>,
+    /// Features whose requests are to be refused.
+    #[prost(message, repeated, tag = "9")]
+    pub bars: Vec<Bar>,
+    /// Whether the sender judges the losses of reports; an older one counts [`Report::crashed`] instead.
+    #[prost(bool, tag = "10")]
+    pub judges: bool,
+}
+
+/// A feature whose requests are refused; see [`crate::crash::Feature`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Bar {
+    /// Hash of the feature.
+    #[prost(fixed64, tag = "1")]
+    pub feature: u64,
+    /// Milliseconds until requests with it are accepted again.
+    #[prost(uint32, tag = "2")]
+    pub left_ms: u32,
+}
+
+/// Responses that an entry daemon has lost with one incarnation of an endpoint.
+#[derive(Clone, PartialEq, Message)]
+pub struct Loss {
+    /// Identity of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Start time of the incarnation in Unix milliseconds, 0 if the sender doesn't know it.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Service that the endpoint belongs to.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Milliseconds since the first of them was lost.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// Features of the requests.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub features: Vec<u64>,
+}
+
+/// The last answer to a request with a feature that survived.
+#[derive(Clone, PartialEq, Message)]
+pub struct Survival {
+    /// Hash of the feature.
+    #[prost(fixed64, tag = "1")]
+    pub feature: u64,
+    /// Milliseconds since then.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+/// The last answer of a service that survived.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServiceSurvival {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Milliseconds since then.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 
 /// What an entry daemon has observed of an endpoint's limit.
@@ -242,13 +305,28 @@
     /// Heads of groups that have sent parts of responses since the last report to the receiver.
     #[prost(string, repeated, tag = "6")]
     pub progress: Vec<String>,
-    /// Fingerprints of requests whose responses were lost because their endpoints terminated; each
-    /// loss is reported once.
+    /// Fingerprints of requests whose responses were lost because their endpoints terminated, as far as
+    /// the sender knows; each loss is reported once. Only for control daemons of older builds.
     #[prost(fixed64, repeated, tag = "7")]
     pub crashed: Vec<u64>,
     /// Limits that responses have stated since the last report to the receiver.
     #[prost(message, repeated, tag = "9")]
     pub limits: Vec<Limit>,
+    /// Responses that were lost since the last report to the receiver, if it judges them.
+    #[prost(message, repeated, tag = "10")]
+    pub losses: Vec<Loss>,
+    /// Survivals with the features that control daemons suspect.
+    #[prost(message, repeated, tag = "11")]
+    pub survivals: Vec<Survival>,
+    /// Survivals of any requests, while control daemons suspect a feature.
+    #[prost(message, repeated, tag = "12")]
+    pub service_survivals: Vec<ServiceSurvival>,
+    /// Bars that the receiver lacked in its last status.
+    #[prost(message, repeated, tag = "13")]
+    pub bars: Vec<Bar>,
+    /// Whether the sender reports `losses`; an older one reports `crashed` only.
+    #[prost(bool, tag = "14")]
+    pub reports_losses: bool,
 }
 
 /// A call of an operator that a control daemon forwards to the leader.
--- a/crates/fleet/tests/deployment/crashing.rs
+++ b/crates/fleet/tests/deployment/crashing.rs
@@ -20,6 +20,8 @@
 const REQUEST_RATE: u32 = 60;
 /// One request in so many has the segment; no divisor of the number of entry daemons.
 const CRASHING_EVERY: u64 = 5;
+/// The same where endpoints end so rarely that most of them are always up.
+const RARELY_CRASHING_EVERY: u64 = 22;
 
 /// A deployment that serves requests.
 fn network(shape: Shape) -> Network {
@@ -63,11 +65,16 @@
 }
 
 #[rstest]
-#[case::small(SMALL)]
-#[case::large(LARGE)]
-fn segment_that_ends_endpoints_is_refused_and_other_requests_are_served(#[case] shape: Shape) {
+#[case::small(SMALL, CRASHING_EVERY)]
+#[case::large(LARGE, CRASHING_EVERY)]
+#[case::small_rarely(SMALL, RARELY_CRASHING_EVERY)]
+#[case::large_rarely(LARGE, RARELY_CRASHING_EVERY)]
+fn segment_that_ends_endpoints_is_refused_and_other_requests_are_served(
+    #[case] shape: Shape,
+    #[case] crashing_every: u64,
+) {
     let mut network = network(shape);
-    network.crashing.every = Some(CRASHING_EVERY);
+    network.crashing.every = Some(crashing_every);
     let begun = network.now;
     network.run_until(SECOND * 20, |_| false);
     let late = late_arrivals(&network, begun);
--- a/crates/fleet/tests/entry/interleaving.rs
+++ b/crates/fleet/tests/entry/interleaving.rs
@@ -183,7 +183,7 @@
         task.wrote = true;
         let now = self.harness.now;
         self.harness.state.record_progress(&attempt.target, now);
-        self.harness.state.record_response_start(id);
+        self.harness.state.record_response_start(id, self.harness.now);
         self.harness.state.record_write(id, true, now);
         self.harness.state.record_write(id, false, now);
     }
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -18,6 +18,7 @@
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
+mod barring;
 mod fetching;
 mod interleaving;
 mod limits;
@@ -212,6 +213,7 @@
             crashing: crashing.to_vec(),
             document_age_ms: 0,
             leads: true,
+            ..Status::default()
         }
     }
 
@@ -528,7 +530,7 @@
     harness.send(1, "/stream/x");
     let target = harness.attempt(1).target;
     harness.state.record_progress(&target, harness.now);
-    harness.state.record_response_start(1);
+    harness.state.record_response_start(1, harness.now);
     harness.now = harness.now + Duration::from_secs(5);
     harness.advance(100);
     assert!(harness.hedges.is_empty());
--- a/crates/fleet/tests/entry/stalls.rs
+++ b/crates/fleet/tests/entry/stalls.rs
@@ -20,7 +20,7 @@
 /// Lets the response to a request begin.
 fn begin(harness: &mut Harness, id: u64) {
     harness.state.record_progress(&harness.attempt(id).target, harness.now);
-    harness.state.record_response_start(id);
+    harness.state.record_response_start(id, harness.now);
 }
 
 /// Advances the clock while only `senders` send parts of responses.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -341,7 +341,7 @@
 
     /// Records that the response to the caller of this request has begun.
     pub(crate) fn record_response_start(&self, id: u64) {
-        self.state.borrow_mut().record_response_start(id);
+        self.state.borrow_mut().record_response_start(id, clock::now());
     }
 
     /// Records that the caller of this request is sent an event with data and without an id.
