--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,6 +8,8 @@
 
 use self::deployment::{Call, Caller, Deployment, Exchange, Kind, Reply};
 
+#[path = "platform/builds.rs"]
+mod builds;
 #[path = "platform/crashes.rs"]
 mod crashes;
 #[path = "platform/cuts.rs"]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -22,8 +22,10 @@
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
 const PORTS: Ports = Ports { control: 20_001, links: 20_002, callers: 20_003, readiness: 20_004 };
+/// Environment variable with the path of the program of [`Build::Other`].
+const OTHER_BUILD: &str = "DOTTERELHOIST_OTHER_BUILD";
 /// Number of control daemons of a deployment.
-const CONTROL_DAEMONS: usize = 3;
+pub const CONTROL_DAEMONS: usize = 3;
 /// Path on the streaming route.
 const STREAM_PATH: &str = "/stream/x";
 /// Path on the route whose requests are not idempotent.
@@ -135,6 +137,22 @@
     Lost,
 }
 
+/// Build of the daemons that a test runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Build {
+    /// The one under test.
+    Present,
+    /// The one at the path in [`OTHER_BUILD`], such as the build before; without it, the one under test.
+    Other,
+}
+
+impl Build {
+    fn program(self) -> PathBuf {
+        let other = std::env::var_os(OTHER_BUILD).filter(|_| self == Build::Other);
+        other.map_or_else(|| env!("CARGO_BIN_EXE_dotterelhoistd").into(), PathBuf::from)
+    }
+}
+
 /// A running deployment; dropping it kills its processes.
 pub struct Deployment {
     /// Temporary folder with the settings files and data folders; removed on drop.
@@ -182,6 +200,11 @@
     /// Starts all daemons and engines, puts a configuration document, and waits until the entry
     /// daemon is ready and serves a request on each route.
     pub fn start() -> Deployment {
+        Deployment::start_build(Build::Present)
+    }
+
+    /// Like [`Deployment::start`], with daemons of this build.
+    pub fn start_build(build: Build) -> Deployment {
         let folder = tempfile::tempdir().expect("a temporary folder can be created");
         let mut deployment = Deployment {
             folder,
@@ -199,10 +222,10 @@
             label_count: AtomicU64::new(0),
         };
         for index in 0..CONTROL_DAEMONS {
-            let child = deployment.spawn(&deployment.ips[index], true);
+            let child = deployment.spawn(build, &deployment.ips[index], true);
             deployment.control_daemons.push(Some(child));
         }
-        deployment.entry = Some(deployment.spawn(&deployment.ips[CONTROL_DAEMONS], false));
+        deployment.entry = Some(deployment.spawn(build, &deployment.ips[CONTROL_DAEMONS], false));
         for index in 0..6 {
             let service = if index < 5 { "llm" } else { "desk" };
             let engine = Engine {
@@ -234,7 +257,7 @@
 
     /// Writes the settings file of a daemon and starts it: a control daemon if `control` is set, an
     /// entry daemon otherwise.
-    fn spawn(&self, ip: &str, control: bool) -> Child {
+    fn spawn(&self, build: Build, ip: &str, control: bool) -> Child {
         let Ports { control: control_port, links, callers, readiness } = PORTS;
         let seeds = self.control_addresses().iter().map(ToString::to_string).collect::<Vec<_>>();
         let listen = match control {
@@ -251,9 +274,9 @@
         );
         let path = self.folder.path().join(format!("{ip}.conf"));
         std::fs::write(&path, text).expect("the temporary folder is writable");
-        let log =
-            std::fs::File::create(self.log_path(ip)).expect("the temporary folder is writable");
-        Command::new(env!("CARGO_BIN_EXE_dotterelhoistd"))
+        let log = std::fs::File::options().create(true).append(true).open(self.log_path(ip));
+        let log = log.expect("the temporary folder is writable");
+        Command::new(build.program())
             .arg("platform")
             .env("DOTTERELHOIST_NODE_FILE", path)
             .stdout(Stdio::from(log))
@@ -554,6 +577,18 @@
         }
     }
 
+    /// Starts the control daemon with this index, which was killed, on its data folder.
+    pub fn start_control_daemon(&mut self, build: Build, index: usize) {
+        self.control_daemons[index] = Some(self.spawn(build, &self.ips[index], true));
+    }
+
+    /// Stops the entry daemon, and starts it.
+    pub fn replace_entry(&mut self, build: Build) {
+        self.terminate_entry();
+        assert!(self.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
+        self.entry = Some(self.spawn(build, &self.ips[CONTROL_DAEMONS], false));
+    }
+
     /// Stops the engine with this index.
     pub fn stop_engine(&mut self, index: usize) {
         self.engines[index] = None;
