--- /dev/null
+++ b/crates/fleet/tests/deployment/cut_off.rs
@@ -0,0 +1,63 @@
+//! Entry daemons that are cut off from all endpoints, while their callers and all other daemons reach them.
+
+use std::time::Duration;
+
+use dotterelhoist_core::clock::Instant;
+use rstest::rstest;
+
+use crate::network::{document, Network, Shape};
+use crate::{LARGE, SECOND, SMALL};
+
+/// Time after the start of a cut from which callers of these daemons must be served.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const ENDPOINTS: usize = 12;
+/// Requests per second of all callers.
+const REQUEST_RATE: u32 = 70;
+/// Time for which daemons are cut off.
+const CUT_TIME: Duration = Duration::from_secs(12);
+/// Part of the share served by other daemons that daemons must serve that are cut off.
+const SHARE_MIN: f64 = 2.0 / 3.0;
+
+/// A deployment that serves requests.
+fn network(shape: Shape) -> Network {
+    let mut network = Network::open(shape);
+    network.run_until(SECOND * 3, |_| false);
+    network.put(0, document(1, 0));
+    for index in 0..ENDPOINTS {
+        network.start_endpoint(&format!("e{index}"));
+    }
+    assert!(network.run_until(SECOND * 5, |network| network.lagging(1) == 0));
+    network.send_requests(REQUEST_RATE, SECOND * 30);
+    network.run_until(SECOND * 3, |_| false);
+    network
+}
+
+/// Share of the requests served that arrived from `from` on, at daemons that are in `network.cut` or at
+/// the others.
+fn served_share(network: &Network, from: Instant, at_cut: bool) -> f64 {
+    let counted = network.crashing.sound.iter().filter(|request| {
+        request.arrived_at >= from && network.cut.contains(&request.daemon) == at_cut
+    });
+    let served: Vec<bool> = counted.map(|request| request.served).collect();
+    served.iter().filter(|served| **served).count() as f64 / served.len() as f64
+}
+
+#[rstest]
+#[case::one_of_small(SMALL, &[0])]
+#[case::a_zone_of_small(SMALL, &[0, 3, 6])]
+#[case::a_zone_of_large(LARGE, &[0, 3, 6, 9, 12, 15, 18, 21, 24, 27, 30, 33, 36, 39, 42, 45, 48, 51])]
+fn callers_of_entry_daemons_that_reach_no_endpoint_are_served_like_others(
+    #[case] shape: Shape,
+    #[case] cut: &[usize],
+) {
+    let mut network = network(shape);
+    for index in cut {
+        network.cut_entry(*index);
+    }
+    let from = network.now + CONTACT_TIME;
+    network.run_until(CUT_TIME, |_| false);
+    let (there, elsewhere) =
+        (served_share(&network, from, true), served_share(&network, from, false));
+    assert!(elsewhere > 0.98, "{elsewhere} served elsewhere");
+    assert!(there >= elsewhere * SHARE_MIN, "{there} served, {elsewhere} elsewhere");
+}
--- a/crates/fleet/tests/deployment/main.rs
+++ b/crates/fleet/tests/deployment/main.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 mod crashing;
+mod cut_off;
 mod documents;
 mod limits;
 mod network;
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -117,8 +117,10 @@
 }
 
 /// A request that ends no endpoint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Sound {
+    /// Entry daemon at which it arrived.
+    pub daemon: Name,
     /// When it arrived at an entry daemon.
     pub arrived_at: Instant,
     pub served: bool,
@@ -129,9 +131,9 @@
         self.every.is_some_and(|every| id.is_multiple_of(every))
     }
 
-    fn record_end(&mut self, id: u64, arrived_at: Instant, served: bool) {
+    fn record_end(&mut self, daemon: &Name, id: u64, arrived_at: Instant, served: bool) {
         if !self.is_crashing(id) {
-            self.sound.push(Sound { arrived_at, served });
+            self.sound.push(Sound { daemon: daemon.clone(), arrived_at, served });
         }
     }
 }
@@ -530,7 +532,7 @@
                 }
                 self.apply_entry(&daemon, entry::Event::LimitStated(endpoint, limit));
                 if let Some(arrived_at) = self.running.remove(&id) {
-                    self.crashing.record_end(id, arrived_at, true);
+                    self.crashing.record_end(&daemon, id, arrived_at, true);
                 }
                 self.answered += 1;
                 entry::Event::AttemptEnded(id, End::Answered)
@@ -550,7 +552,7 @@
                 entry::Effect::Decide(id, Decision::Send(attempt)) => self.run(daemon, id, attempt),
                 entry::Effect::Decide(id, Decision::Refuse(refusal)) => {
                     if let Some(arrived_at) = self.running.remove(&id) {
-                        self.crashing.record_end(id, arrived_at, false);
+                        self.crashing.record_end(daemon, id, arrived_at, false);
                         self.refusals.push((self.now.since(arrived_at), refusal));
                     }
                 }
