Relay requests over another entry daemon while no endpoint is reached

It now relays requests, one hop, to entry daemons that the control daemons name. The relay makes one attempt; retries, tokens, demand and the resumption of streams stay with the daemon of the caller. Idle connections are dropped when it counts as cut off, and the first new connection ends the ejections. New fields only: an older build is never named and asks for none.

--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -35,6 +35,8 @@
 /// until the heartbeat interval and this margin have passed since this daemon started; it is then
 /// left out.
 const STARTUP_MARGIN: Duration = Duration::from_millis(600);
+/// Entry daemons that are named to one that may have to relay requests.
+const RELAYS_MAX: usize = 8;
 /// Time after which an entry daemon's suspicion of an endpoint is dropped unless reported again.
 const SUSPECT_TTL: Duration = Duration::from_secs(1);
 
@@ -138,6 +140,9 @@
             self.suspects.insert(id.as_str().into(), now);
         }
         self.traffic |= report.traffic;
+        if report.needs_relay && !subscriber.report.needs_relay {
+            subscriber.status_due = Instant::default();
+        }
         subscriber.reported_at = now;
         subscriber.report = report;
     }
@@ -156,6 +161,22 @@
         }
     }
 
+    /// Entry daemons to which the one called `receiver` may relay requests; others for each receiver.
+    fn relays_for(&self, now: Instant, receiver: &Name) -> Vec<String> {
+        let takes_relays = |subscriber: &Subscriber| {
+            subscriber.report.takes_relays && now.since(subscriber.reported_at) <= REPORT_TTL
+        };
+        let available = self
+            .subscribers
+            .iter()
+            .filter(|(name, subscriber)| *name != receiver && takes_relays(subscriber));
+        let available: Vec<&Name> = available.map(|(name, _)| name).collect();
+        let position = self.subscribers.keys().take_while(|name| *name < receiver).count();
+        let first = position * RELAYS_MAX % available.len().max(1);
+        let rotated = available[first..].iter().chain(&available[..first]);
+        rotated.take(RELAYS_MAX).map(ToString::to_string).collect()
+    }
+
     /// Makes the next status of all entry daemons due at once.
     pub(super) fn expedite_statuses(&mut self) {
         for subscriber in self.subscribers.values_mut() {
@@ -260,8 +281,15 @@
         let Some(subscriber) = self.distributor.subscribers.get_mut(name) else { return };
         if now >= subscriber.status_due {
             subscriber.status_due = now + STATUS_INTERVAL;
-            effects.push(Effect::Send(name.clone(), Body::Status(status.clone())));
+            let needs_relay = subscriber.report.needs_relay;
+            let relays = match needs_relay {
+                true => self.distributor.relays_for(now, name),
+                false => Vec::new(),
+            };
+            let status = Status { relays, ..status.clone() };
+            effects.push(Effect::Send(name.clone(), Body::Status(status)));
         }
+        let Some(subscriber) = self.distributor.subscribers.get_mut(name) else { return };
         if !subscriber.report.selected {
             return;
         }
@@ -291,6 +319,7 @@
             suspected: self.judge.suspected(),
             bars,
             judges: true,
+            relays: Vec::new(),
             leads: self.replica.leads(now),
             document_age_ms: now.since(self.distributor.documents.applied_at).as_millis() as u32,
         }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -31,6 +31,7 @@
 mod fetching;
 mod hedging;
 mod limits;
+mod relaying;
 mod reporting;
 mod serving;
 mod slots;
@@ -78,6 +79,8 @@
     /// Time after the acknowledgement of a document from which no request may be handled by an
     /// older one.
     pub apply_timeout: Duration,
+    /// Port at which entry daemons take requests that others relay to them; the same for all.
+    pub relay_port: u16,
 }
 
 /// An event for an entry daemon.
@@ -121,6 +124,8 @@
     Dial(Name),
     /// Pass a decision to the task that serves the request with this id.
     Decide(u64, Decision),
+    /// Close the idle connections to endpoints.
+    DropIdleConnections,
     /// Write a log line.
     Log(journal::Event),
 }
@@ -190,6 +195,8 @@
     unreported_crashes: Vec<u64>,
     /// Features whose requests are refused.
     bars: Bars,
+    /// Whether this daemon seemed to be cut off from the endpoints at the last tick.
+    was_cut_off: bool,
     /// Work requested since the last report, by service and model.
     demand: Workload,
     /// What has not been reported to the control daemons that are not selected.
@@ -239,6 +246,7 @@
             older_losses: older::Losses::default(),
             unreported_crashes: Vec::new(),
             bars: Bars::default(),
+            was_cut_off: false,
             demand: BTreeMap::new(),
             unsent: Unsent::default(),
             report_round: 0,
@@ -309,6 +317,11 @@
         self.targets.record_progress(target, now);
     }
 
+    /// Records that a new connection to an endpoint was established.
+    pub fn record_connected(&mut self, target: &Name) {
+        self.targets.record_connected(target);
+    }
+
     /// Records the numbers of running and waiting requests that an endpoint stated in a response.
     pub fn record_load(&mut self, target: &Name, running: u32, waiting: u32) {
         self.targets.record_load(target, running, waiting);
@@ -428,6 +441,7 @@
             self.targets.restart_stall_timers(now);
         }
         self.last_tick = now;
+        self.watch_cut(now, effects);
         self.hedge_stalled_attempts(now, effects);
         let targets = &self.targets;
         let crashed =
--- a/crates/fleet/src/entry/barring.rs
+++ b/crates/fleet/src/entry/barring.rs
@@ -10,6 +10,7 @@
 use crate::message::Status;
 use crate::Name;
 
+use super::relaying::is_relay;
 use super::request::{End, Request};
 use super::{Effect, Reason, State};
 
@@ -52,6 +53,9 @@
     }
 
     fn record_loss(&mut self, now: Instant, id: u64, target: &Name) {
+        if is_relay(target) {
+            return;
+        }
         let Some(active) = self.requests.get(&id) else { return };
         self.losses.record(Loss {
             endpoint: target.clone(),
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -138,14 +138,21 @@
         let random = self.next_random();
         let Some(active) = self.requests.get(&id) else { return false };
         let service = active.requirement.0.clone();
+        let cut_off = self.targets.is_cut_off(now);
         let choice = self.targets.choose(&active.requirement, &active.tried, now, random);
-        let Choice::Endpoint(target) = choice else { return false };
-        if !self.budget.withdraw(&service) {
+        if !cut_off && !matches!(choice, Choice::Endpoint(_)) || !self.budget.allows(&service) {
             return false;
         }
-        let Some(attempt) = self.start_attempt(now, id, &target) else { return false };
+        let relay = if cut_off { self.start_relay(id) } else { None };
+        let attempt = match (relay, choice) {
+            (Some(attempt), _) => Some(attempt),
+            (None, Choice::Endpoint(target)) => self.start_attempt(now, id, &target),
+            (None, _) => None,
+        };
+        let Some(attempt) = attempt else { return false };
+        self.budget.withdraw(&service);
         let Some(active) = self.requests.get_mut(&id) else { return false };
-        active.hedge = Some(target);
+        active.hedge = Some(attempt.target.clone());
         effects.push(Effect::Decide(id, Decision::Hedge(attempt)));
         true
     }
@@ -158,7 +165,7 @@
         self.hedge.is_none()
             && self.phase != Phase::Remaining
             && self.is_retryable()
-            && self.attempts < self.route.max_attempts
+            && self.attempts < self.max_attempts()
             && self.tried.len() < TRIED_ENDPOINTS_MAX
             && self.deadline.since(now) > REMAINING_TIME_MIN
             && silence.duration >= patience
--- a/crates/fleet/src/entry/reporting.rs
+++ b/crates/fleet/src/entry/reporting.rs
@@ -47,6 +47,8 @@
             service_survivals,
             bars: Vec::new(),
             reports_losses: true,
+            takes_relays: self.takes_relays(now),
+            needs_relay: self.targets.needs_relay(now),
         };
         self.report_round += 1;
         let new_suspect = report.suspects.iter().any(|id| !self.reported_suspects.contains(id));
@@ -73,6 +75,11 @@
         }
     }
 
+    /// Whether other entry daemons may relay requests to this one.
+    fn takes_relays(&self, now: Instant) -> bool {
+        self.confirmed && !self.stopping && !self.targets.is_cut_off(now)
+    }
+
     /// Number of rounds after which control daemons that are not selected get a report as well. It
     /// grows with the number of entry daemons, so that the reports that one control daemon receives
     /// grow more slowly than the deployment.
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -36,6 +36,8 @@
     pub segments: SmallVec<[u64; 4]>,
     /// Time at which its caller stops waiting.
     pub deadline: Instant,
+    /// Whether another entry daemon relays it to this one, because it reaches no endpoint.
+    pub relayed: bool,
 }
 
 impl Request {
@@ -48,10 +50,12 @@
 /// One attempt to have an endpoint serve a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
-    /// Identity of the endpoint.
+    /// Identity of the endpoint, or name of the relay.
     pub target: Name,
-    /// IP address and port of the endpoint.
+    /// IP address and port of the endpoint or the relay.
     pub address: Name,
+    /// Whether it goes to another entry daemon, which sends the request to an endpoint.
+    pub relay: bool,
     /// Route that the request matched.
     pub route: Arc<Route>,
     /// Workspace of the caller; none if the document defines no workspaces, or the route is public
@@ -159,7 +163,7 @@
         /// HTTP status.
         status: u16,
     },
-    /// No connection to the endpoint could be established, so nothing was sent.
+    /// No connection to the endpoint or relay could be established, so nothing was sent.
     Unreachable,
     /// The endpoint has asked for a pause, or stated that it leaves, since it was chosen, so nothing
     /// was sent.
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -85,6 +85,15 @@
 }
 
 impl Active {
+    /// Maximum number of attempts. The daemon that relays a request to this one retries it itself.
+    pub(super) fn max_attempts(&self) -> u32 {
+        if self.request.relayed {
+            1
+        } else {
+            self.route.max_attempts
+        }
+    }
+
     /// Whether another attempt may start or continue the response.
     pub(super) fn is_retryable(&self) -> bool {
         self.route.is_retryable() && !self.unresumable
@@ -118,8 +127,10 @@
             return;
         };
         self.has_traffic = true;
-        self.budget.deposit(&service);
-        self.record_demand(&service, &request);
+        if !request.relayed {
+            self.budget.deposit(&service);
+            self.record_demand(&service, &request);
+        }
         let model = if self.has_models(&service) { request.model.clone() } else { "".into() };
         let deadline = request.deadline.min(now + route.timeout);
         let requirement = (service, model);
@@ -160,8 +171,13 @@
         }
         let requirement = active.requirement.clone();
         let is_retry = active.attempts > 0;
-        let choice = self.targets.choose(&requirement, &active.tried, now, random);
         let may_wait = active.response_begun && self.admits_soon(active, now);
+        let choice = self.targets.choose(&requirement, &active.tried, now, random);
+        let relays = self.prefers_relay(now, active)
+            || choice == Choice::None && self.targets.needs_relay(now);
+        if relays && self.relay(id, effects) {
+            return;
+        }
         match choice {
             Choice::Endpoint(target) if is_retry || self.queue.is_empty(&requirement) => {
                 self.send(now, id, target, effects);
@@ -236,6 +252,7 @@
         let attempt = Attempt {
             address: target_state.description.address.as_str().into(),
             target: target.clone(),
+            relay: false,
             route: active.route.clone(),
             workspace: active.workspace.as_ref().map(|workspace| workspace.name.clone()),
             deadline: active.deadline,
@@ -252,13 +269,16 @@
                 let random = self.next_random();
                 let tried = self.requests.get(&id).map(|active| active.tried.clone());
                 let tried = tried.unwrap_or_default();
-                let Choice::Endpoint(target) =
-                    self.targets.choose(&requirement, &tried, now, random)
-                else {
-                    break;
-                };
+                match self.targets.choose(&requirement, &tried, now, random) {
+                    Choice::Endpoint(target) => self.send(now, id, target, effects),
+                    Choice::None if self.targets.needs_relay(now) => {
+                        if !self.relay(id, effects) {
+                            break;
+                        }
+                    }
+                    Choice::None | Choice::Full => break,
+                }
                 self.queue.remove(&requirement, id);
-                self.send(now, id, target, effects);
             }
         }
     }
--- a/crates/fleet/src/entry/serving/ending.rs
+++ b/crates/fleet/src/entry/serving/ending.rs
@@ -119,7 +119,7 @@
     fn acquire_retry(&mut self, now: Instant, id: u64, needs_token: bool) -> bool {
         let Some(active) = self.requests.get(&id) else { return false };
         let time_left = active.deadline.since(now) > REMAINING_TIME_MIN;
-        let attempts_left = active.attempts < active.route.max_attempts;
+        let attempts_left = active.attempts < active.max_attempts();
         let tries_left = active.tried.len() < TRIED_ENDPOINTS_MAX;
         time_left
             && attempts_left
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -66,6 +66,14 @@
 const PLAIN_OVERCOMMIT: f64 = 1.0;
 /// Requests beyond its slots that a serving group may be sent, as a multiple of the slots.
 const GROUP_OVERCOMMIT: f64 = 0.0;
+/// Time after the last failure to reach an endpoint for which this daemon counts as cut off. Then the
+/// next requests are sent to endpoints again, to find out whether it still is.
+const CUT_TTL: Duration = Duration::from_secs(2);
+/// Number of endpoints that must be silent or unreachable for this daemon to count as cut off.
+const CUT_ENDPOINTS_MIN: usize = 2;
+/// Time after the last failure to reach an endpoint for which this daemon asks for relays: the longest
+/// ejection, and a margin.
+const RELAY_WISH_TTL: Duration = Duration::from_secs(10);
 /// Time for which a suspicion is reported to the control daemons, and for which an endpoint that
 /// was unreachable is presumed to have terminated.
 const SUSPICION_TTL: Duration = Duration::from_millis(600);
@@ -393,6 +401,21 @@
         target.stalled_until = Instant::default();
     }
 
+    /// Records that a new connection to an endpoint was established. If that had failed before, ends the
+    /// ejections of all endpoints that could not be connected to.
+    pub fn record_connected(&mut self, id: &Name) {
+        let Some(target) = self.targets.get(id) else { return };
+        if target.unreachable_at.is_none() {
+            return;
+        }
+        for target in self.targets.values_mut() {
+            if target.unreachable_at.take().is_some() {
+                target.ejected_until = Instant::default();
+                target.consecutive_failures = 0;
+            }
+        }
+    }
+
     /// Records the number of running and waiting requests that an endpoint stated in a response. It
     /// can only raise the known load; the next loads from the control daemon replace it.
     pub fn record_load(&mut self, id: &Name, running: u32, waiting: u32) {
@@ -440,6 +463,40 @@
         self.targets.get(id)?.last_part
     }
 
+    /// Whether this daemon seems to be cut off from the endpoints: several that the control daemons list
+    /// are silent or can't be connected to, and none sends anything.
+    pub(super) fn is_cut_off(&self, now: Instant) -> bool {
+        let suspected = |target: &&Target| {
+            target.in_view && target.suspected_at.is_some_and(|at| now.since(at) < CUT_TTL)
+        };
+        if self.targets.values().filter(suspected).count() < CUT_ENDPOINTS_MIN {
+            return false;
+        }
+        let last_part = self.targets.values().filter_map(|target| target.last_part).max();
+        last_part.is_none_or(|at| now.since(at) >= STALL_TIMEOUT_MIN)
+    }
+
+    /// Whether this daemon has failed to reach an endpoint, and may have to relay requests.
+    pub(super) fn needs_relay(&self, now: Instant) -> bool {
+        let failed = |at: Option<Instant>| at.is_some_and(|at| now.since(at) < RELAY_WISH_TTL);
+        let in_view = self.targets.values().filter(|target| target.in_view);
+        in_view
+            .into_iter()
+            .any(|target| failed(target.suspected_at) || failed(target.unreachable_at))
+    }
+
+    /// Number of endpoints in the view that could not be connected to within [`CUT_TTL`].
+    pub(super) fn unreachable(&self, now: Instant) -> usize {
+        self.targets.keys().filter(|id| self.is_unreachable(id, now)).count()
+    }
+
+    /// Whether an endpoint in the view could not be connected to within [`CUT_TTL`].
+    pub(super) fn is_unreachable(&self, id: &Name, now: Instant) -> bool {
+        let target = self.targets.get(id).filter(|target| target.in_view);
+        let failed_at = target.and_then(|target| target.unreachable_at);
+        failed_at.is_some_and(|at| now.since(at) < CUT_TTL)
+    }
+
     /// Whether an endpoint has probably terminated: it is no longer in the view, or was unreachable
     /// within `SUSPICION_TTL`.
     pub fn has_probably_terminated(&self, id: &Name, now: Instant) -> bool {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -85,6 +85,10 @@
     /// Whether the sender judges the losses of reports; an older one counts [`Report::crashed`] instead.
     #[prost(bool, tag = "10")]
     pub judges: bool,
+    /// IP addresses of entry daemons to which the receiver may relay requests; empty unless its last
+    /// report had [`Report::needs_relay`].
+    #[prost(string, repeated, tag = "11")]
+    pub relays: Vec<String>,
 }
 
 /// A feature whose requests are refused; see [`crate::crash::Feature`].
@@ -327,6 +331,12 @@
     /// Whether the sender reports `losses`; an older one reports `crashed` only.
     #[prost(bool, tag = "14")]
     pub reports_losses: bool,
+    /// Whether other entry daemons may relay requests to the sender.
+    #[prost(bool, tag = "15")]
+    pub takes_relays: bool,
+    /// Whether the sender may have to relay requests, because it does not reach some endpoints.
+    #[prost(bool, tag = "16")]
+    pub needs_relay: bool,
 }
 
 /// A call of an operator that a control daemon forwards to the leader.
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -168,6 +168,8 @@
     Persisted(u64),
     /// A caller sends a request.
     Request(u64),
+    /// Another entry daemon relays a request.
+    Relayed(u64),
     /// An endpoint has answered the request.
     Answered(u64, Name),
     /// An attempt to send the request to an endpoint has ended like this.
@@ -239,6 +241,10 @@
     /// Entry daemons that reach no endpoint.
     pub cut: BTreeSet<Name>,
     pub crashing: Crashing,
+    /// Entry daemons that have relayed the requests which another one now handles, by request.
+    relayed: BTreeMap<u64, Name>,
+    /// Number of requests that were relayed.
+    pub relay_count: usize,
     /// Requests for slots that entry daemons have sent.
     pub slot_requests: usize,
     /// When each request arrived that has no final response.
@@ -267,6 +273,8 @@
             down: BTreeSet::new(),
             cut: BTreeSet::new(),
             crashing: Crashing::default(),
+            relayed: BTreeMap::new(),
+            relay_count: 0,
             slot_requests: 0,
             running: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -352,6 +360,7 @@
             retry_ratio: 0.1,
             retry_slack: 40.0,
             apply_timeout: Duration::from_millis(2500),
+            relay_port: 7,
         };
         let state = entry::State::open(setup, LineReader, index as u64 + 1, self.now);
         self.entry.insert(name.clone(), state);
@@ -519,6 +528,14 @@
                 self.running.insert(id, self.now);
                 entry::Event::RequestArrived(Box::new(self.request(id)))
             }
+            Occurrence::Relayed(id) => {
+                let request = Request { relayed: true, ..self.request(id) };
+                entry::Event::RequestArrived(Box::new(request))
+            }
+            Occurrence::Ended(id, End::Answered) => {
+                self.record_answer(&daemon, id);
+                entry::Event::AttemptEnded(id, End::Answered)
+            }
             Occurrence::Ended(id, end) => entry::Event::AttemptEnded(id, end),
             Occurrence::Answered(id, endpoint) => {
                 let sent = self.endpoints.get_mut(&endpoint).expect("it exists");
@@ -531,10 +548,7 @@
                     told.entry(daemon.clone()).or_insert(self.now);
                 }
                 self.apply_entry(&daemon, entry::Event::LimitStated(endpoint, limit));
-                if let Some(arrived_at) = self.running.remove(&id) {
-                    self.crashing.record_end(&daemon, id, arrived_at, true);
-                }
-                self.answered += 1;
+                self.record_answer(&daemon, id);
                 entry::Event::AttemptEnded(id, End::Answered)
             }
             _ => return,
@@ -542,6 +556,25 @@
         self.apply_entry(&daemon, event);
     }
 
+    /// Records that a daemon has answered a request, or passes the answer to the daemon that relayed it.
+    fn record_answer(&mut self, daemon: &Name, id: u64) {
+        if let Some(origin) = self.take_origin(daemon, id) {
+            self.after(LATENCY, &origin, Occurrence::Ended(id, End::Answered));
+            return;
+        }
+        if let Some(arrived_at) = self.running.remove(&id) {
+            self.crashing.record_end(daemon, id, arrived_at, true);
+        }
+        self.answered += 1;
+    }
+
+    /// Removes and returns the daemon that has relayed a request to this one.
+    fn take_origin(&mut self, daemon: &Name, id: u64) -> Option<Name> {
+        let origin = self.relayed.get(&id).filter(|origin| *origin != daemon)?.clone();
+        self.relayed.remove(&id);
+        Some(origin)
+    }
+
     fn apply_entry(&mut self, daemon: &Name, event: entry::Event) {
         let mut effects = Vec::new();
         let Some(state) = self.entry.get_mut(daemon) else { return };
@@ -551,6 +584,15 @@
                 entry::Effect::Send(to, body) => self.send(daemon, to, body),
                 entry::Effect::Decide(id, Decision::Send(attempt)) => self.run(daemon, id, attempt),
                 entry::Effect::Decide(id, Decision::Refuse(refusal)) => {
+                    if let Some(origin) = self.take_origin(daemon, id) {
+                        let status = refusal.reason.status();
+                        let end = match status {
+                            502 | 504 => End::Lost(Loss::Unsigned),
+                            _ => End::Declined { status },
+                        };
+                        self.after(LATENCY, &origin, Occurrence::Ended(id, end));
+                        continue;
+                    }
                     if let Some(arrived_at) = self.running.remove(&id) {
                         self.crashing.record_end(daemon, id, arrived_at, false);
                         self.refusals.push((self.now.since(arrived_at), refusal));
@@ -563,6 +605,13 @@
 
     /// Runs a request at an endpoint.
     fn run(&mut self, daemon: &Name, id: u64, attempt: Attempt) {
+        if attempt.relay {
+            let relay: Name = attempt.target.trim_start_matches("relay-").into();
+            self.relayed.insert(id, daemon.clone());
+            self.relay_count += 1;
+            self.after(LATENCY, &relay, Occurrence::Relayed(id));
+            return;
+        }
         if self.is_down(&attempt.target) || self.cut.contains(daemon) {
             self.after(LATENCY * 2, daemon, Occurrence::Ended(id, End::Unreachable));
             return;
@@ -673,6 +722,7 @@
             fingerprint: id,
             segments: [COMMON_SEGMENT, segment].into_iter().collect(),
             deadline: self.now + CALLER_TIMEOUT,
+            relayed: false,
         }
     }
 
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod pauses;
 mod placing;
+mod relaying;
 mod stalls;
 
 const SELECTED_CONTROL: &str = "10.0.0.9";
@@ -136,6 +137,7 @@
             retry_ratio: 0.1,
             retry_slack: 40.0,
             apply_timeout: Duration::from_secs(2),
+            relay_port: 7,
         };
         let state = State::open(setup, StubReader, seed, now);
         let (decisions, hedges, reported_crashes, unselected_reports, fetches) = Default::default();
@@ -311,6 +313,7 @@
         fingerprint: id,
         segments: Default::default(),
         deadline: now + Duration::from_secs(8),
+        relayed: false,
     }
 }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -30,6 +30,8 @@
 mod callers;
 mod parsing;
 
+use self::callers::Peer;
+
 /// Time between two [`Event::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Longest head of a readiness check by the load balancer; a connection with a longer one is
@@ -60,6 +62,8 @@
     pub setup: Setup,
     /// Address at which callers' requests are accepted.
     pub caller_address: SocketAddr,
+    /// Address at which requests are accepted that other entry daemons relay.
+    pub relay_address: SocketAddr,
     /// Address at which the load balancer checks whether the daemon is ready.
     pub readiness_address: SocketAddr,
     /// Port at which control daemons accept connections of daemons.
@@ -123,6 +127,7 @@
 {
     let caller_listener = TcpListener::bind(config.caller_address).await?;
     let readiness_listener = TcpListener::bind(config.readiness_address).await?;
+    let relay_listener = TcpListener::bind(config.relay_address).await?;
     let daemon = config.setup.daemon.to_string();
     journal::write(&log_events::Event::new(100, "started", &*daemon, "role=entry"));
     let hello = Hello { daemon, zone: config.setup.zone.to_string(), control: false };
@@ -157,14 +162,18 @@
     }
     executor.spawn(tick(shell.clone())).detach();
     let caller_shell = shell.clone();
-    let serve = move |stream| {
+    let serve_from = move |stream, peer| {
         let shell = caller_shell.clone();
         shell.connection_count.set(shell.connection_count.get() + 1);
         async move {
-            shell.serve(stream).await;
+            shell.serve(stream, peer).await;
             shell.connection_count.set(shell.connection_count.get() - 1);
         }
     };
+    let serve_relayed = serve_from.clone();
+    let serve_relayed = move |stream| serve_relayed(stream, Peer::EntryDaemon);
+    executor.spawn(accept_all(relay_listener, executor.clone(), serve_relayed)).detach();
+    let serve = move |stream| serve_from(stream, Peer::Caller);
     let accepting =
         executor.spawn(accept_all(caller_listener.clone(), executor.clone(), serve.clone()));
     let readiness_shell = shell.clone();
@@ -251,10 +260,16 @@
                     }
                 }
             }
+            Effect::DropIdleConnections => self.pool.clear(),
             Effect::Log(event) => journal::write(&event),
         }
     }
 
+    /// Records that a new connection to the endpoint or relay `target` was established.
+    pub(crate) fn record_connected(&self, target: &Name) {
+        self.state.borrow_mut().record_connected(target);
+    }
+
     /// Passes link events to the reducer. Entry daemons accept no connections of other daemons, so
     /// events of incoming connections do not occur.
     fn handle_link_event(&self, event: LinkEvent) {
--- a/crates/gateway/src/entry/callers.rs
+++ b/crates/gateway/src/entry/callers.rs
@@ -26,12 +26,21 @@
 /// Delay after which a caller may retry whose request body found no memory.
 const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(200);
 
+/// Who sends requests on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Peer {
+    /// A caller.
+    Caller,
+    /// An entry daemon that relays the requests of its callers.
+    EntryDaemon,
+}
+
 impl<Platform> Shell<Platform>
 where
     Platform: Protocol,
 {
-    /// Serves the requests on the connection of a caller, one after the other.
-    pub(super) async fn serve(&self, stream: TcpStream) {
+    /// Serves the requests on the connection of a caller or another entry daemon, one after the other.
+    pub(super) async fn serve(&self, stream: TcpStream, peer: Peer) {
         let mut connection = Connection::open(stream);
         loop {
             if connection.buffer.is_empty() && !self.wait_for_request(&mut connection).await {
@@ -40,7 +49,7 @@
             let limits = self.limits();
             let head = connection.read_request_head(limits.head_bytes);
             let keep_alive = match within(limits.head_timeout, head).await {
-                Some(Ok(head)) => self.serve_request(&mut connection, head, limits).await,
+                Some(Ok(head)) => self.serve_request(&mut connection, peer, head, limits).await,
                 Some(Err(error)) => {
                     self.refuse_unreadable(&connection, &error).await;
                     false
@@ -104,6 +113,7 @@
     async fn serve_request(
         &self,
         connection: &mut Connection,
+        peer: Peer,
         head: RequestHead,
         limits: Limits,
     ) -> bool {
@@ -126,7 +136,8 @@
         };
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let request = parse_request::<Platform>(id, &head, &body, started_at);
+        let mut request = parse_request::<Platform>(id, &head, &body, started_at);
+        request.relayed = peer == Peer::EntryDaemon;
         let keep_alive = head.keep_alive && !self.state.borrow().is_stopping();
         let incoming = Incoming { id, request_id: request.request_id.clone(), head, body };
         if self.refuses_requests.get() {
@@ -160,12 +171,15 @@
         let (decisions, decision_receiver) = bounded(4);
         let (hedges, hedge_receiver) = bounded(1);
         self.handles.borrow_mut().insert(incoming.id, RequestHandle { decisions, hedges });
-        self.meter.count("received");
+        self.meter.count(if request.relayed { "received.relayed" } else { "received" });
         self.apply(Event::RequestArrived(Box::new(request)));
         while let Ok(decision) = decision_receiver.recv().await {
             match decision {
                 Decision::Send(attempt) => {
                     self.meter.count(if attempt.number > 1 { "sent.again" } else { "sent.first" });
+                    if attempt.relay {
+                        self.meter.count("sent.relay");
+                    }
                     let end = response.run_attempt(self, incoming, attempt, &hedge_receiver).await;
                     let answered = end == End::Answered;
                     self.apply(Event::AttemptEnded(incoming.id, end));
--- a/crates/gateway/src/entry/parsing.rs
+++ b/crates/gateway/src/entry/parsing.rs
@@ -64,6 +64,7 @@
         fingerprint: hasher.digest(),
         segments: parse_segments(header_text(names.prompt_segments)),
         deadline: parse_deadline(headers.find(names.deadline), DEFAULT_CALLER_TIMEOUT, now),
+        relayed: false,
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 };
 use crate::memory::Reservation;
 use crate::protocol::Protocol;
+use crate::upstream;
 
 /// Longest head of an endpoint's response; a longer one ends the attempt as [`End::Lost`].
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -183,8 +184,7 @@
     Platform: Protocol,
 {
     let mut reservation = shell.response_memory.reserve();
-    let connection = shell.pool.connect(&attempt.address).await;
-    let mut connection = connection.ok_or(End::Unreachable)?;
+    let mut connection = connect(shell, attempt).await.ok_or(End::Unreachable)?;
     // The pause may have begun while the connection was being established.
     if shell.is_barred(&attempt.target) {
         return Err(End::Withheld);
@@ -193,10 +193,16 @@
     connection.write(&bytes).await.map_err(|_| End::Lost(Loss::Failed))?;
     let head = connection.read_response_head(&incoming.head.method, MAX_HEAD_BYTES).await;
     let head = head.map_err(loss_of)?;
-    shell.record_response_head(&attempt.target, &head);
+    if !attempt.relay {
+        shell.record_response_head(&attempt.target, &head);
+    }
     let headers = &head.headers;
     let echoed = headers.find(Platform::HEADERS.request_id);
-    let declined = headers.find(Platform::HEADERS.declined).is_some() || head.status == 421;
+    let is_signed = headers.find(Platform::HEADERS.signature).is_some();
+    let declined = match attempt.relay && !is_signed {
+        true => is_refusal(head.status),
+        false => headers.find(Platform::HEADERS.declined).is_some() || head.status == 421,
+    };
     if echoed.is_some_and(|echoed| echoed != &*incoming.request_id) {
         return Err(End::Lost(Loss::WrongRequest));
     }
@@ -211,7 +217,7 @@
     if echoed.is_none() {
         return Err(End::Lost(Loss::WrongRequest));
     }
-    if headers.find(Platform::HEADERS.signature).is_none() {
+    if !is_signed {
         return Err(End::Lost(Loss::Unsigned));
     }
     if headers.find("content-encoding").is_some() {
@@ -244,6 +250,25 @@
     Ok(if success { Reply::Complete(message) } else { Reply::Error(message) })
 }
 
+/// An idle connection to the endpoint or relay of an attempt, or a new one; none if the connect fails or
+/// takes too long.
+async fn connect<Platform>(shell: &Shell<Platform>, attempt: &Attempt) -> Option<Connection>
+where
+    Platform: Protocol,
+{
+    if let Some(connection) = shell.pool.take(&attempt.address) {
+        return Some(connection);
+    }
+    let connection = upstream::connect(&attempt.address).await?;
+    shell.record_connected(&attempt.target);
+    Some(connection)
+}
+
+/// Whether a relay that answers by itself, and with this status, has not run the request.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 400..=499 | 503)
+}
+
 /// Whether the body of a response is a stream of events.
 fn is_event_stream(headers: &Headers) -> bool {
     let kind = headers.find("content-type").unwrap_or_default();
@@ -269,7 +294,8 @@
 }
 
 /// Encodes the request to the endpoint: hop-by-hop headers and the caller's key are removed,
-/// and the headers for the endpoint are set. With `last_event_id`, the stream is resumed after it.
+/// and the headers for the endpoint are set. A relay gets the caller's key instead, and sets these
+/// headers itself. With `last_event_id`, the stream is resumed after it.
 fn encode_request<Platform>(
     incoming: &Incoming,
     attempt: &Attempt,
@@ -279,8 +305,8 @@
     Platform: Protocol,
 {
     let names = Platform::HEADERS;
-    let removed_names =
-        [names.deadline, names.expected_instance, names.workspace, "authorization", "expect"];
+    let key = if attempt.relay { "" } else { "authorization" };
+    let removed_names = [names.deadline, names.expected_instance, names.workspace, key, "expect"];
     let head = &incoming.head;
     let mut bytes = Vec::with_capacity(1024 + incoming.body.len());
     bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
@@ -300,7 +326,9 @@
     }
     let remaining_ms = attempt.deadline.since(clock::now()).as_millis();
     push_header(&mut bytes, names.deadline, remaining_ms.to_string().as_bytes());
-    push_header(&mut bytes, names.expected_instance, attempt.target.as_bytes());
+    if !attempt.relay {
+        push_header(&mut bytes, names.expected_instance, attempt.target.as_bytes());
+    }
     if let Some(workspace) = &attempt.workspace {
         push_header(&mut bytes, names.workspace, workspace.as_bytes());
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -40,18 +40,9 @@
 }
 
 impl Pool {
-    /// Reuses an idle connection to an address or establishes a new one; none if the connect fails
-    /// or takes too long.
-    pub(crate) async fn connect(&self, address: &Name) -> Option<Connection> {
-        if let Some(connection) = self.take(address) {
-            return Some(connection);
-        }
-        connect(address).await
-    }
-
     /// Removes from the pool the most recently used idle connection that can be reused, and closes
     /// those used later that can't.
-    fn take(&self, address: &Name) -> Option<Connection> {
+    pub(crate) fn take(&self, address: &Name) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(address)?;
@@ -87,6 +78,11 @@
         }
     }
 
+    /// Closes all connections.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes the connections that have been idle for too long to be reused.
     pub(crate) fn close_expired(&self) {
         let now = clock::now();
