A suspicion says nothing about an endpoint that another daemon sees make progress

An entry daemon that was cut off reported all endpoints as suspected, to all control daemons, and the leader probed all members of their groups: its view counted as everyone's. A suspicion within 250 ms of a report of progress is now ignored. The test fails without the change (128 probes instead of 0); the tests of the package pass.

--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -37,6 +37,9 @@
 const STARTUP_MARGIN: Duration = Duration::from_millis(600);
 /// Entry daemons that are named to one that may have to relay requests.
 const RELAYS_MAX: usize = 8;
+/// Time after a report of progress in which a suspicion of the same endpoint says something about the
+/// daemon that reports it, not about the endpoint.
+const CONTRADICTION_TIME: Duration = Duration::from_millis(250);
 /// Time after which an entry daemon's suspicion of an endpoint is dropped unless reported again.
 const SUSPECT_TTL: Duration = Duration::from_secs(1);
 
@@ -137,7 +140,10 @@
             self.progress.insert(id.as_str().into(), now);
         }
         for id in &report.suspects {
-            self.suspects.insert(id.as_str().into(), now);
+            let progressed_at = self.progress.get(id.as_str());
+            if progressed_at.is_none_or(|at| now.since(*at) >= CONTRADICTION_TIME) {
+                self.suspects.insert(id.as_str().into(), now);
+            }
         }
         self.traffic |= report.traffic;
         if report.needs_relay && !subscriber.report.needs_relay {
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -150,6 +150,10 @@
     /// Daemons that stated in a status that they are up to date, with the version of their
     /// document.
     pub up_to_date_reports: Vec<(Name, u64)>,
+    /// Heads of which the entry daemon of the other zone reports progress.
+    pub progress: Vec<String>,
+    /// Number of probes of engines.
+    pub probes: usize,
     /// Group heads in the newest view that was sent to an entry daemon.
     pub heads_in_view: BTreeSet<Name>,
     /// Whether messages between control daemons are lost.
@@ -197,6 +201,8 @@
             zone_partitioned: false,
             suspects: Vec::new(),
             up_to_date_reports: Vec::new(),
+            progress: Vec::new(),
+            probes: 0,
             heads_in_view: BTreeSet::new(),
             control_partitioned: false,
             documents_sent: Vec::new(),
@@ -459,8 +465,11 @@
                     Event::Received { from: "entry".into(), body: Body::Report(report), random };
                 self.apply(&name, event);
             }
-            if !self.zone_partitioned && random.is_multiple_of(4) {
-                let body = Body::Report(Report::default());
+            // Never in the step of a report with suspects.
+            let reports_progress = !self.progress.is_empty() && !random.is_multiple_of(2);
+            if !self.zone_partitioned && (random.is_multiple_of(4) || reports_progress) {
+                let progress = self.progress.clone();
+                let body = Body::Report(Report { progress, ..Report::default() });
                 self.apply(&name, Event::Received { from: "far".into(), body, random });
             }
             self.apply(&name, Event::Tick { random });
@@ -514,6 +523,7 @@
                     self.inbox.push((name.clone(), Event::OrderFinished { ticket, outcome }));
                 }
                 Effect::Probe { id, .. } => {
+                    self.probes += 1;
                     let engine = self.engines.get(&id);
                     if engine.is_some_and(|engine| engine.silent) {
                         let event =
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -672,6 +672,19 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// An entry daemon that is cut off suspects all heads; another one is served by them.
+#[test]
+fn heads_that_make_progress_elsewhere_are_not_probed_because_one_daemon_suspects_them() {
+    let mut cluster = serving_cluster(2);
+    let heads: Vec<String> = cluster.heads().iter().map(ToString::to_string).collect();
+    cluster.progress = heads.clone();
+    cluster.run(SECOND);
+    cluster.probes = 0;
+    cluster.suspects = heads;
+    cluster.run(SECOND * 6);
+    assert_eq!(cluster.probes, 0);
+}
+
 /// An endpoint that answers a probe with an error is alive, for example one that asks for a pause.
 #[test]
 fn group_whose_head_answers_probes_with_an_error_keeps_its_streams() {
