Tests of relays: real daemons, cuts that hang, and the end of a cut

An entry daemon whose control daemon, a stand-in, lists endpoints that refuse connections serves 40 of 40 requests over another daemon, each run once; a wrong key is refused by itself; without the relay it refuses as not run. In the simulation callers are also served while connections hang, and requests take the direct way within 3 s after a cut.

--- a/crates/fleet/tests/deployment/cut_off.rs
+++ b/crates/fleet/tests/deployment/cut_off.rs
@@ -49,15 +49,32 @@
 fn callers_of_entry_daemons_that_reach_no_endpoint_are_served_like_others(
     #[case] shape: Shape,
     #[case] cut: &[usize],
+    #[values(false, true)] hangs: bool,
 ) {
     let mut network = network(shape);
+    network.cut_hangs = hangs;
     for index in cut {
         network.cut_entry(*index);
     }
     let from = network.now + CONTACT_TIME;
     network.run_until(CUT_TIME, |_| false);
-    let (there, elsewhere) =
-        (served_share(&network, from, true), served_share(&network, from, false));
+    let there = served_share(&network, from, true);
+    let elsewhere = served_share(&network, from, false);
     assert!(elsewhere > 0.98, "{elsewhere} served elsewhere");
     assert!(there >= elsewhere * SHARE_MIN, "{there} served, {elsewhere} elsewhere");
 }
+
+/// Requests take the direct way again soon after the cut.
+#[rstest]
+fn requests_are_no_longer_relayed_after_the_end_of_a_cut(#[values(false, true)] hangs: bool) {
+    let mut network = network(SMALL);
+    network.cut_hangs = hangs;
+    network.cut_entry(0);
+    network.run_until(CUT_TIME, |_| false);
+    assert!(network.relay_count > 0);
+    network.cut.clear();
+    network.run_until(SECOND * 3, |_| false);
+    let relayed = network.relay_count;
+    network.run_until(SECOND * 3, |_| false);
+    assert_eq!(network.relay_count, relayed);
+}
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -29,6 +29,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Time for which callers wait.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which an entry daemon gives up to establish a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(180);
 /// Time from the end of an endpoint to its next start.
 const RESTART_TIME: Duration = Duration::from_millis(1500);
 /// Prompt segment of all requests.
@@ -240,6 +242,8 @@
     pub down: BTreeSet<Name>,
     /// Entry daemons that reach no endpoint.
     pub cut: BTreeSet<Name>,
+    /// Whether connections of these daemons hang, instead of being reset or refused.
+    pub cut_hangs: bool,
     pub crashing: Crashing,
     /// Entry daemons that have relayed the requests which another one now handles, by request.
     relayed: BTreeMap<u64, Name>,
@@ -272,6 +276,7 @@
             answered: 0,
             down: BTreeSet::new(),
             cut: BTreeSet::new(),
+            cut_hangs: false,
             crashing: Crashing::default(),
             relayed: BTreeMap::new(),
             relay_count: 0,
@@ -372,9 +377,17 @@
         }
     }
 
-    /// Cuts an entry daemon off from all endpoints, with resets: what it has in flight is lost.
+    /// Cuts an entry daemon off from all endpoints. What it has in flight is lost or, if connections hang,
+    /// does not end.
     pub fn cut_entry(&mut self, index: usize) {
         let name = entry_name(index);
+        if self.cut_hangs {
+            for endpoint in self.endpoints.values_mut() {
+                endpoint.in_flight.retain(|_, daemon| *daemon != name);
+            }
+            self.cut.insert(name);
+            return;
+        }
         let ids: Vec<Name> = self.endpoints.keys().cloned().collect();
         for id in ids {
             self.lose_in_flight(&id, |daemon| *daemon == name);
@@ -613,7 +626,9 @@
             return;
         }
         if self.is_down(&attempt.target) || self.cut.contains(daemon) {
-            self.after(LATENCY * 2, daemon, Occurrence::Ended(id, End::Unreachable));
+            let hangs = self.cut_hangs && self.cut.contains(daemon);
+            let time = if hangs { CONNECT_TIMEOUT } else { LATENCY * 2 };
+            self.after(time, daemon, Occurrence::Ended(id, End::Unreachable));
             return;
         }
         let Some(endpoint) = self.endpoints.get_mut(&attempt.target) else { return };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -25,6 +25,9 @@
 #[path = "platform/floods.rs"]
 mod floods;
 
+#[path = "platform/relays.rs"]
+mod relays;
+
 /// Number of requests that one call of [`serve_all`] sends.
 const REQUESTS: usize = 40;
 /// Time for which a sound endpoint may send nothing.
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -21,7 +21,8 @@
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
-const PORTS: Ports = Ports { control: 20_001, links: 20_002, callers: 20_003, readiness: 20_004 };
+pub const PORTS: Ports =
+    Ports { control: 20_001, links: 20_002, callers: 20_003, readiness: 20_004 };
 /// Environment variable with the path of the program of [`Build::Other`].
 const OTHER_BUILD: &str = "DOTTERELHOIST_OTHER_BUILD";
 /// Number of control daemons of a deployment.
@@ -185,14 +186,14 @@
 
 /// Ports on which a daemon listens.
 #[derive(Clone, Copy)]
-struct Ports {
+pub struct Ports {
     /// Of a control daemon, for endpoints and operators.
     control: u16,
-    /// Of any daemon, for links from other daemons.
-    links: u16,
-    /// Of the entry daemon, for callers.
+    /// Of a control daemon, for links from other daemons; of an entry daemon, for relayed requests.
+    pub links: u16,
+    /// Of an entry daemon, for callers.
     callers: u16,
-    /// Of the entry daemon, for readiness checks.
+    /// Of an entry daemon, for readiness checks.
     readiness: u16,
 }
 
@@ -258,8 +259,19 @@
     /// Writes the settings file of a daemon and starts it: a control daemon if `control` is set, an
     /// entry daemon otherwise.
     fn spawn(&self, build: Build, ip: &str, control: bool) -> Child {
+        self.spawn_with_seeds(build, ip, control, &self.control_addresses())
+    }
+
+    /// Like [`Deployment::spawn`], with the addresses of these control daemons.
+    pub fn spawn_with_seeds(
+        &self,
+        build: Build,
+        ip: &str,
+        control: bool,
+        seeds: &[SocketAddr],
+    ) -> Child {
         let Ports { control: control_port, links, callers, readiness } = PORTS;
-        let seeds = self.control_addresses().iter().map(ToString::to_string).collect::<Vec<_>>();
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
         let listen = match control {
             true => {
                 let data = self.folder.path().join(ip);
@@ -290,7 +302,12 @@
     }
 
     fn entry_address(&self, port: u16) -> SocketAddr {
-        address(&self.ips[CONTROL_DAEMONS], port)
+        address(self.entry_ip(), port)
+    }
+
+    /// IP address of the entry daemon.
+    pub fn entry_ip(&self) -> &str {
+        &self.ips[CONTROL_DAEMONS]
     }
 
     fn control_addresses(&self) -> Vec<SocketAddr> {
@@ -376,12 +393,17 @@
 
     /// Sends a request on the streaming route, with `key` or, if none, the tenant's API key.
     pub fn stream(&self, id: &str, key: Option<&str>) -> Option<Reply> {
+        self.stream_at(self.entry_ip(), id, key)
+    }
+
+    /// Like [`Deployment::stream`], at the entry daemon with this IP address.
+    pub fn stream_at(&self, ip: &str, id: &str, key: Option<&str>) -> Option<Reply> {
         let key = key.unwrap_or(API_KEY);
         let headers = format!(
             "Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {key}\r\n\
              Dotterelhoist-Deadline-Ms: 6000\r\nDotterelhoist-Model: m\r\n"
         );
-        self.send(self.entry_address(PORTS.callers), "POST", STREAM_PATH, &headers, "prompt")
+        self.send(address(ip, PORTS.callers), "POST", STREAM_PATH, &headers, "prompt")
     }
 
     /// Sends a request on the streaming route whose prompt has these segments.
@@ -448,6 +470,13 @@
         self.book_at(id, BOOK_PATH)
     }
 
+    /// Like [`Deployment::book`], at the entry daemon with this IP address.
+    pub fn book_with(&self, ip: &str, id: &str) -> Option<Reply> {
+        let headers =
+            format!("Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {API_KEY}\r\n");
+        self.send(address(ip, PORTS.callers), "POST", BOOK_PATH, &headers, "seat")
+    }
+
     /// Sends a booking with this path.
     pub fn book_at(&self, id: &str, path: &str) -> Option<Reply> {
         let headers =
@@ -743,7 +772,7 @@
 
 /// Configuration document of all tests: a streaming route that allows 2 attempts, and routes whose
 /// requests are not idempotent: one and `more` further ones.
-fn document(version: u64, more: usize) -> serde_json::Value {
+pub fn document(version: u64, more: usize) -> serde_json::Value {
     let booking = |name: &str| {
         json!({ "name": name, "host": "h.example", "path_prefix": format!("/{name}/"),
                 "route_type": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 500,
--- /dev/null
+++ b/tests/platform/relays.rs
@@ -0,0 +1,174 @@
+//! An entry daemon that reaches no endpoint relays its callers' requests over another one.
+//!
+//! It has a stand-in for a control daemon, which lists endpoints that refuse connections and names the
+//! entry daemon of a [`Deployment`] as a relay.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dotterelhoist_fleet::message::{Body, Frame, Status, Target, View};
+use dotterelhoist_fleet::patch::{Original, Patch};
+use dotterelhoist_wire::Connection;
+use smol::net::{TcpListener, TcpStream};
+use smol::Timer;
+
+use super::deployment::{document, event_ids, Build, Deployment, PORTS};
+use super::{RECOVERY_TIMEOUT, REQUESTS};
+
+/// Version of the configuration document of the stand-in, which is that of the deployment.
+const VERSION: u64 = 7;
+/// Time between two statuses of the stand-in.
+const STATUS_INTERVAL: Duration = Duration::from_millis(100);
+/// An address at which nothing listens.
+const REFUSING: &str = "127.0.0.1:1";
+
+/// An entry daemon that reaches no endpoint; dropping it kills its process.
+struct CutOff {
+    ip: String,
+    daemon: Child,
+    /// Closed on drop, which ends the thread of the stand-in.
+    _stop: smol::channel::Sender<()>,
+}
+
+impl CutOff {
+    /// Starts the stand-in and the entry daemon, and waits until the daemon serves a request.
+    fn start(deployment: &Deployment) -> CutOff {
+        let [control_ip, ip] = unique_ips();
+        let address: SocketAddr = format!("{control_ip}:{}", PORTS.links).parse().expect("valid");
+        let (stop, stopped) = smol::channel::bounded::<()>(1);
+        let relay = deployment.entry_ip().to_owned();
+        let listener = smol::block_on(TcpListener::bind(address)).expect("the address is free");
+        std::thread::spawn(move || {
+            let executor = Rc::new(smol::LocalExecutor::new());
+            let serve = accept(listener, executor.clone(), control_ip, relay);
+            let stop_requested = async {
+                stopped.recv().await.ok();
+            };
+            smol::block_on(executor.run(futures_lite::FutureExt::or(serve, stop_requested)));
+        });
+        let daemon = deployment.spawn_with_seeds(Build::Present, &ip, false, &[address]);
+        let cut_off = CutOff { ip, daemon, _stop: stop };
+        let served = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+            let reply = deployment.stream_at(&cut_off.ip, &deployment.unique_label(), None);
+            reply.filter(|reply| reply.status == 200)
+        });
+        assert!(served.is_some(), "no request is relayed");
+        cut_off
+    }
+}
+
+impl Drop for CutOff {
+    fn drop(&mut self) {
+        self.daemon.kill().ok();
+        self.daemon.wait().ok();
+    }
+}
+
+/// Two IP addresses that no other process of this test uses.
+fn unique_ips() -> [String; 2] {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let (high, low) = (process / 250 % 4 + 251, process % 250 + 1);
+    [1, 2].map(|index| format!("127.{high}.{low}.{}", number * 2 + index))
+}
+
+/// Accepts the links of entry daemons.
+async fn accept(
+    listener: TcpListener,
+    executor: Rc<smol::LocalExecutor<'static>>,
+    control_ip: String,
+    relay: String,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (control_ip, relay) = (control_ip.clone(), relay.clone());
+        executor.spawn(async move { link(stream, &control_ip, &relay).await }).detach();
+    }
+}
+
+/// Sends the document, the view, and the status again and again; ignores what the daemon sends.
+async fn link(stream: TcpStream, control_ip: &str, relay: &str) -> Option<()> {
+    let mut connection: Connection<TcpStream, Frame> = Connection::open(stream);
+    let body = document(VERSION, 0).to_string().into();
+    let patch = Patch::between(&Original::default(), &Original { version: VERSION, body });
+    send(&mut connection, Body::Document(patch.ok()?)).await?;
+    loop {
+        let status = Status {
+            up_to_date: true,
+            version: VERSION,
+            control_daemons: vec![control_ip.to_owned()],
+            entry_daemons: 2,
+            leads: true,
+            relays: vec![relay.to_owned()],
+            ..Status::default()
+        };
+        send(&mut connection, Body::Status(status)).await?;
+        send(&mut connection, Body::View(View { sequence: 1, targets: targets() })).await?;
+        Timer::after(STATUS_INTERVAL).await;
+    }
+}
+
+async fn send(connection: &mut Connection<TcpStream, Frame>, body: Body) -> Option<()> {
+    connection.feed(&Frame { body: Some(body) }).await.ok()?;
+    connection.flush().await.ok()
+}
+
+/// Endpoints of both services, which refuse connections.
+fn targets() -> Vec<Target> {
+    let target = |number: u32, service: &str, model: &str| Target {
+        id: format!("none-{service}-{number}"),
+        address: REFUSING.to_owned(),
+        service: service.to_owned(),
+        model: model.to_owned(),
+        group: if model.is_empty() { String::new() } else { format!("g{number}") },
+        zone: "z".to_owned(),
+        slots: 26,
+        started_unix_ms: 1,
+    };
+    (0..4).flat_map(|number| [target(number, "llm", "m"), target(number, "desk", "")]).collect()
+}
+
+/// Streams and bookings get the answers of endpoints, unchanged and once.
+#[test]
+fn requests_at_an_entry_daemon_that_reaches_no_endpoint_are_relayed() {
+    let deployment = Deployment::start();
+    let cut_off = CutOff::start(&deployment);
+    for number in 0..REQUESTS {
+        let id = format!("relayed-{number}");
+        let reply = match number % 2 {
+            0 => deployment.stream_at(&cut_off.ip, &id, None),
+            _ => deployment.book_with(&cut_off.ip, &id),
+        };
+        let reply = reply.expect("a complete response");
+        assert_eq!((reply.status, reply.id), (200, Some(id.clone())));
+        assert!(reply.sealed, "the response lacks the seal of an endpoint");
+        if number % 2 == 0 {
+            assert_eq!(event_ids(&reply.body), [1, 2, 3, 4, 5], "{}", reply.body);
+        }
+        assert_eq!(deployment.run_count(&id), 1);
+    }
+    deployment.check_run_counts();
+}
+
+#[test]
+fn request_with_a_wrong_key_is_refused_by_the_daemon_that_would_relay_it() {
+    let deployment = Deployment::start();
+    let cut_off = CutOff::start(&deployment);
+    let reply = deployment.stream_at(&cut_off.ip, "wrong-key", Some("nobody"));
+    assert_eq!(reply.map(|reply| reply.status), Some(401));
+}
+
+/// The relay is stopped: what its daemon can't answer must not look as if it had run.
+#[test]
+fn requests_are_refused_as_not_run_once_the_relay_is_gone() {
+    let mut deployment = Deployment::start();
+    let cut_off = CutOff::start(&deployment);
+    deployment.terminate_entry();
+    assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
+    let reply = deployment.book_with(&cut_off.ip, "late-1").expect("a complete response");
+    assert!(matches!(reply.status, 429 | 503), "{}", reply.status);
+    assert_eq!(deployment.run_count("late-1"), 0);
+}
