--- a/crates/fleet/tests/deployment/main.rs
+++ b/crates/fleet/tests/deployment/main.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+mod crash_soak;
 mod crashing;
 mod cut_off;
 mod documents;
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -29,6 +29,10 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Time for which callers wait.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Endpoints of [`Network::open_serving`].
+const ENDPOINTS: usize = 12;
+/// Requests per second of all callers of [`Network::open_serving`].
+const REQUEST_RATE: u32 = 60;
 /// Time after which an entry daemon gives up to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(180);
 /// Time from the end of an endpoint to its next start.
@@ -296,6 +300,22 @@
         network
     }
 
+    /// Starts all daemons and [`ENDPOINTS`] endpoints, and requests at [`REQUEST_RATE`] for half a
+    /// minute; runs until they are served.
+    pub fn open_serving(shape: Shape) -> Network {
+        let mut network = Network::open(shape);
+        let second = Duration::from_secs(1);
+        network.run_until(second * 3, |_| false);
+        network.put(0, document(1, 0));
+        for index in 0..ENDPOINTS {
+            network.start_endpoint(&format!("e{index}"));
+        }
+        assert!(network.run_until(second * 5, |network| network.lagging(1) == 0));
+        network.send_requests(REQUEST_RATE, second * 30);
+        network.run_until(second * 3, |_| false);
+        network
+    }
+
     fn start_control(&mut self, index: usize) {
         self.open_control(index, 0);
         let offset = Duration::from_millis(index as u64);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,10 +6,13 @@
 
 use rstest::rstest;
 
-use self::deployment::{Call, Caller, Deployment, Exchange, Kind, Reply};
+use self::callers::{Call, Caller, Exchange, Reply};
+use self::deployment::{Deployment, Kind};
 
 #[path = "platform/builds.rs"]
 mod builds;
+#[path = "platform/callers.rs"]
+mod callers;
 #[path = "platform/crashes.rs"]
 mod crashes;
 #[path = "platform/cuts.rs"]
--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -2,8 +2,9 @@
 
 use rstest::rstest;
 
+use super::callers::{BodyEnd, Received};
 use super::cuts::{Cut, Framing};
-use super::deployment::{BodyEnd, Deployment, Received};
+use super::deployment::Deployment;
 use super::engine;
 
 /// Text of the events with these numbers.
