Log each relayed request; take relays only from live control daemons

The way of one id over two entry daemons could not be followed, and the list of a control daemon that has fallen silent was used on. Line 126 names the relay. The tests of the package pass.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -147,6 +147,11 @@
         self.status.as_ref().map_or(0, |status| status.version)
     }
 
+    /// Whether it has sent a message recently.
+    fn is_live(&self, now: Instant) -> bool {
+        now.since(self.last_message) < SOURCE_TIMEOUT
+    }
+
     /// The bars that it did not state in its newest status; none if it takes no bars.
     fn lacks(&self, bars: &Bars, now: Instant) -> Vec<Bar> {
         let status = self.status.as_ref().filter(|status| status.judges);
@@ -396,8 +401,7 @@
     /// same subnet, then the one selected so far.
     fn select_source(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let usable = |source: &&Source| {
-            now.since(source.last_message) < SOURCE_TIMEOUT
-                && source.status.as_ref().is_some_and(|status| status.version > 0)
+            source.is_live(now) && source.status.as_ref().is_some_and(|status| status.version > 0)
         };
         let up_to_date =
             |source: &Source| source.status.as_ref().is_some_and(|status| status.up_to_date);
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -143,7 +143,7 @@
         if !cut_off && !matches!(choice, Choice::Endpoint(_)) || !self.budget.allows(&service) {
             return false;
         }
-        let relay = if cut_off { self.start_relay(id) } else { None };
+        let relay = if cut_off { self.start_relay(now, id, effects) } else { None };
         let attempt = match (relay, choice) {
             (Some(attempt), _) => Some(attempt),
             (None, Choice::Endpoint(target)) => self.start_attempt(now, id, &target),
--- a/crates/fleet/src/entry/relaying.rs
+++ b/crates/fleet/src/entry/relaying.rs
@@ -29,8 +29,8 @@
 {
     /// Relays a request if this daemon seems to be cut off from the endpoints, or if the request could
     /// not be sent to any that it reaches. Returns whether it does.
-    pub(super) fn relay(&mut self, id: u64, effects: &mut Vec<Effect>) -> bool {
-        let Some(attempt) = self.start_relay(id) else { return false };
+    pub(super) fn relay(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) -> bool {
+        let Some(attempt) = self.start_relay(now, id, effects) else { return false };
         let Some(active) = self.requests.get_mut(&id) else { return false };
         active.endpoint = Some(attempt.target.clone());
         active.phase = Phase::Sent;
@@ -47,13 +47,18 @@
 
     /// Counts a new attempt of a request over a relay and describes it; none if there is no relay that
     /// was not tried, or the request may not be relayed.
-    pub(super) fn start_relay(&mut self, id: u64) -> Option<Attempt> {
+    pub(super) fn start_relay(
+        &mut self,
+        now: Instant,
+        id: u64,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Attempt> {
         let random = self.next_random();
         let active = self.requests.get(&id)?;
         if active.request.relayed || active.tried.len() >= TRIED_ENDPOINTS_MAX {
             return None;
         }
-        let relays = self.relays();
+        let relays = self.relays(now);
         let untried: Vec<&Name> =
             relays.iter().filter(|relay| !active.tried.contains(&relay_name(relay))).collect();
         let relay = *untried.get(random as usize % untried.len().max(1))?;
@@ -61,6 +66,9 @@
         let active = self.requests.get_mut(&id)?;
         active.attempts += 1;
         active.tried.push(target.clone());
+        let detail = format!("to={relay} attempt={}", active.attempts);
+        let request_id = &*active.request.request_id;
+        effects.push(Effect::Log(journal::Event::new(126, "request relayed", request_id, detail)));
         Some(Attempt {
             target,
             address: address.into(),
@@ -80,7 +88,7 @@
             return;
         }
         self.was_cut_off = is_cut_off;
-        let detail = format!("cut_off={is_cut_off} relays={:?}", self.relays());
+        let detail = format!("cut_off={is_cut_off} relays={:?}", self.relays(now));
         let event = journal::Event::new(135, "endpoints out of reach", &*self.setup.daemon, detail);
         effects.push(Effect::Log(event));
         if is_cut_off {
@@ -89,8 +97,9 @@
     }
 
     /// IP addresses of the entry daemons that the control daemons name as relays.
-    fn relays(&self) -> Vec<Name> {
-        let statuses = self.sources.values().filter_map(|source| source.status.as_ref());
+    fn relays(&self, now: Instant) -> Vec<Name> {
+        let live = self.sources.values().filter(|source| source.is_live(now));
+        let statuses = live.filter_map(|source| source.status.as_ref());
         let mut relays: Vec<Name> =
             statuses.flat_map(|status| &status.relays).map(|name| name.as_str().into()).collect();
         relays.retain(|relay| *relay != self.setup.daemon);
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -175,7 +175,7 @@
         let choice = self.targets.choose(&requirement, &active.tried, now, random);
         let relays = self.prefers_relay(now, active)
             || choice == Choice::None && self.targets.needs_relay(now);
-        if relays && self.relay(id, effects) {
+        if relays && self.relay(now, id, effects) {
             return;
         }
         match choice {
@@ -272,7 +272,7 @@
                 match self.targets.choose(&requirement, &tried, now, random) {
                     Choice::Endpoint(target) => self.send(now, id, target, effects),
                     Choice::None if self.targets.needs_relay(now) => {
-                        if !self.relay(id, effects) {
+                        if !self.relay(now, id, effects) {
                             break;
                         }
                     }
