An incarnation that an entry daemon doesn't know is not taken for an ended one

An entry daemon states 0 for the start of an endpoint that has left its view. A control daemon compared it with the start that it knew, and counted an end of an endpoint that went on: four such reports barred a feature (feature_is_barred_only_if_the_endpoints_have_ended, case going_on_with_unknown_incarnation, failed before). Now 0 proves nothing.

--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -42,8 +42,8 @@
     }
 
     /// What is known of an incarnation that lost its first response at `lost_at`. A refused connection is
-    /// no proof by itself, since a network partition may reset connections: no entry daemon may have seen
-    /// the endpoint make progress since.
+    /// no proof by itself, since a network may be partitioned: no entry daemon may have seen the endpoint
+    /// make progress since.
     fn evidence(&self, now: Instant, incarnation: &Incarnation, lost_at: Instant) -> Evidence {
         let Some(endpoint) = self.endpoints.find(&incarnation.endpoint) else {
             return Evidence::Unreachable;
@@ -52,19 +52,20 @@
         if heartbeat.draining {
             return Evidence::NoCrash;
         }
-        if endpoint.confirmed_dead || heartbeat.started_unix_ms > incarnation.started_unix_ms {
+        let has_restarted = incarnation.started_unix_ms > 0
+            && heartbeat.started_unix_ms > incarnation.started_unix_ms;
+        if endpoint.confirmed_dead || has_restarted {
             return Evidence::Ended;
         }
-        let progressed_at = self.distributor.progress().get(&incarnation.endpoint);
+        let progressed_at = self.distributor.progress().get(&incarnation.endpoint).copied();
         if heartbeat.gone || progressed_at.is_some_and(|at| at.since(lost_at) > PROGRESS_MARGIN) {
             return Evidence::NoCrash;
         }
         if self.reachability.may_be_unreachable(&heartbeat.zone, now) {
             return Evidence::Unreachable;
         }
-        let refused_at =
-            endpoint.outage.filter(|outage| outage.refused).map(|outage| outage.last_failure);
-        match refused_at.is_some_and(|at| at + PROGRESS_MARGIN >= lost_at) {
+        let outage = endpoint.outage.filter(|outage| outage.refused);
+        match outage.is_some_and(|outage| outage.last_failure + PROGRESS_MARGIN >= lost_at) {
             true => Evidence::Ended,
             false => Evidence::Unknown,
         }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -154,6 +154,8 @@
     pub progress: Vec<String>,
     /// Number of probes of engines.
     pub probes: usize,
+    /// Features that any control daemon has stated to be barred.
+    pub barred: BTreeSet<u64>,
     /// Group heads in the newest view that was sent to an entry daemon.
     pub heads_in_view: BTreeSet<Name>,
     /// Whether messages between control daemons are lost.
@@ -203,6 +205,7 @@
             up_to_date_reports: Vec::new(),
             progress: Vec::new(),
             probes: 0,
+            barred: BTreeSet::new(),
             heads_in_view: BTreeSet::new(),
             control_partitioned: false,
             documents_sent: Vec::new(),
@@ -283,6 +286,14 @@
         self.apply(control, Event::Received { from: entry.into(), body, random: 1 });
     }
 
+    /// Sends a report of the entry daemon of the first zone to all control daemons.
+    pub fn report(&mut self, report: &Report) {
+        for name in daemon_names() {
+            let body = Body::Report(report.clone());
+            self.apply(&name, Event::Received { from: "entry".into(), body, random: 1 });
+        }
+    }
+
     /// Asks a control daemon for its document on behalf of an entry daemon that has `version`.
     pub fn fetch(&mut self, control: &Name, entry: &str, version: u64) {
         let body = Body::Fetch(Fetch { version });
@@ -500,6 +511,7 @@
                     }
                     if let Body::Status(status) = &body {
                         self.versions_stated.push((to.clone(), status.version));
+                        self.barred.extend(status.bars.iter().map(|bar| bar.feature));
                         if status.up_to_date {
                             self.up_to_date_reports.push((name.clone(), status.version));
                         }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 
 mod cluster;
+mod evidence;
 
 use self::cluster::{daemon_names, Cluster, Shape, STALL_TIMEOUT};
 
