An endpoint that is silent for good has ended too

Only a refused connection or another incarnation counted as the end of an endpoint, so requests that take a whole VM along were never found (case silent_for_good failed before).

--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -41,9 +41,9 @@
         }
     }
 
-    /// What is known of an incarnation that lost its first response at `lost_at`. A refused connection is
-    /// no proof by itself, since a network may be partitioned: no entry daemon may have seen the endpoint
-    /// make progress since.
+    /// What is known of an incarnation that lost its first response at `lost_at`. A refused connection, or
+    /// a long silence, is no proof by itself, since a network may be partitioned: no entry daemon may have
+    /// seen the endpoint make progress since.
     fn evidence(&self, now: Instant, incarnation: &Incarnation, lost_at: Instant) -> Evidence {
         let Some(endpoint) = self.endpoints.find(&incarnation.endpoint) else {
             return Evidence::Unreachable;
@@ -64,7 +64,7 @@
         if self.reachability.may_be_unreachable(&heartbeat.zone, now) {
             return Evidence::Unreachable;
         }
-        let outage = endpoint.outage.filter(|outage| outage.refused);
+        let outage = endpoint.outage.filter(|outage| outage.is_failure(progressed_at));
         match outage.is_some_and(|outage| outage.last_failure + PROGRESS_MARGIN >= lost_at) {
             true => Evidence::Ended,
             false => Evidence::Unknown,
--- a/crates/fleet/tests/control/evidence.rs
+++ b/crates/fleet/tests/control/evidence.rs
@@ -39,6 +39,7 @@
 /// Four heads lose responses to requests with [`FEATURE`], one after the other; others of the service survive.
 /// The entry daemon may not know the incarnation, and then states none.
 #[rstest]
+#[case::silent_for_good(Fate::Killed, 1, true)]
 #[case::restarted(Fate::Restarted, 1, true)]
 #[case::going_on(Fate::None, 1, false)]
 #[case::going_on_with_unknown_incarnation(Fate::None, 0, false)]
