--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/control/claims.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::command::{Claim, Outcome, Run, RunResult, Settle, SuspectChange, Suspicion, Verdict};
+use super::command::{Claim, NewBar, Outcome, Run, RunResult, Settle, SuspectChange, Suspicion};
 
 /// Ended claims that are kept; beyond this the oldest is dropped and its key can be claimed again.
 const CLAIMS_KEPT: usize = 100_000;
@@ -196,21 +196,21 @@
                 result: None,
             };
             self.records.insert(id, record);
-            return Outcome { holder, ..Outcome::of(Verdict::Accepted) };
+            return Outcome { holder, ..Outcome::of(NewBar::Accepted) };
         };
         let holder = record.request.clone();
         if record.digest != claim.digest {
-            return Outcome { holder, ..Outcome::of(Verdict::Mismatch) };
+            return Outcome { holder, ..Outcome::of(NewBar::Mismatch) };
         }
         if record.request == claim.request && record.result.is_none() {
-            return Outcome { holder, ..Outcome::of(Verdict::Accepted) };
+            return Outcome { holder, ..Outcome::of(NewBar::Accepted) };
         }
         match &record.result {
             Some(result) => {
                 let result = Some(result.clone());
-                Outcome { holder, result, ..Outcome::of(Verdict::Recorded) }
+                Outcome { holder, result, ..Outcome::of(NewBar::Recorded) }
             }
-            None => Outcome { holder, ..Outcome::of(Verdict::InProgress) },
+            None => Outcome { holder, ..Outcome::of(NewBar::InProgress) },
         }
     }
 
@@ -219,18 +219,18 @@
     pub(super) fn settle(&mut self, settle: Settle) -> Outcome {
         let id = claim_id(&settle.workspace, &settle.key);
         let Some(record) = self.records.get_mut(&id) else {
-            return Outcome::of(Verdict::Missing);
+            return Outcome::of(NewBar::Missing);
         };
         if record.request != settle.request {
-            return Outcome { holder: record.request.clone(), ..Outcome::of(Verdict::Conflict) };
+            return Outcome { holder: record.request.clone(), ..Outcome::of(NewBar::Conflict) };
         }
         if let Some(result) = &record.result {
-            return Outcome { result: Some(result.clone()), ..Outcome::of(Verdict::Recorded) };
+            return Outcome { result: Some(result.clone()), ..Outcome::of(NewBar::Recorded) };
         }
-        let Some(result) = settle.result else { return Outcome::of(Verdict::Refused) };
+        let Some(result) = settle.result else { return Outcome::of(NewBar::Refused) };
         if result.run() == Run::NotRun {
             self.records.remove(&id);
-            return Outcome::of(Verdict::Accepted);
+            return Outcome::of(NewBar::Accepted);
         }
         record.result = Some(result);
         self.ended.push_back(id);
@@ -239,7 +239,7 @@
                 self.records.remove(&oldest);
             }
         }
-        Outcome::of(Verdict::Accepted)
+        Outcome::of(NewBar::Accepted)
     }
 
     /// Records that a suspected request crashed an endpoint or is cleared, or grants or ends its
@@ -252,12 +252,12 @@
                 if let Some(suspect) = self.suspects.get_mut(&change.fingerprint) {
                     suspect.trial = None;
                 }
-                Outcome::of(Verdict::Accepted)
+                Outcome::of(NewBar::Accepted)
             }
             Suspicion::Cleared => {
                 self.suspects.remove(&change.fingerprint);
                 self.suspect_order.retain(|known| *known != change.fingerprint);
-                Outcome::of(Verdict::Accepted)
+                Outcome::of(NewBar::Accepted)
             }
         }
     }
@@ -284,7 +284,7 @@
                 self.suspects.remove(&oldest);
             }
         }
-        Outcome { version, ..Outcome::of(Verdict::Accepted) }
+        Outcome { version, ..Outcome::of(NewBar::Accepted) }
     }
 
     /// Grants a trial unless another request already runs one for the same suspect, or another
@@ -297,18 +297,18 @@
             other.fingerprint != change.fingerprint && on_route
         });
         let Some(suspect) = self.suspects.get_mut(&change.fingerprint) else {
-            return Outcome::of(Verdict::Accepted);
+            return Outcome::of(NewBar::Accepted);
         };
         let version = suspect.deaths.len() as u64;
         if version >= u64::from(CRASH_LIMIT) {
-            return Outcome { version, ..Outcome::of(Verdict::Refused) };
+            return Outcome { version, ..Outcome::of(NewBar::Refused) };
         }
         let trial_in_progress =
             suspect.trial.as_ref().is_some_and(|trial| trial.request != change.request);
         if trial_in_progress || route_in_use {
-            return Outcome { version, ..Outcome::of(Verdict::InProgress) };
+            return Outcome { version, ..Outcome::of(NewBar::InProgress) };
         }
         suspect.trial = Some(Trial { request: change.request, route: change.vm });
-        Outcome { version, ..Outcome::of(Verdict::Accepted) }
+        Outcome { version, ..Outcome::of(NewBar::Accepted) }
     }
 }
--- a/crates/core/src/control/command.rs
+++ b/crates/core/src/control/command.rs
@@ -290,8 +290,8 @@
 #[derive(Clone, PartialEq, Message, serde::Serialize, serde::Deserialize)]
 pub struct Outcome {
     /// Whether the command took effect.
-    #[prost(enumeration = "Verdict", tag = "1")]
-    pub verdict: i32,
+    #[prost(enumeration = "NewBar", tag = "1")]
+    pub bar: i32,
     /// Version of the object, generation of the group, or number of endpoints that died under a
     /// suspected request.
     #[prost(uint64, tag = "2")]
@@ -311,9 +311,9 @@
 }
 
 impl Outcome {
-    /// An outcome that has only a verdict.
-    pub fn of(verdict: Verdict) -> Outcome {
-        Outcome { verdict: verdict as i32, ..Outcome::default() }
+    /// An outcome that has only a bar.
+    pub fn of(bar: NewBar) -> Outcome {
+        Outcome { bar: bar as i32, ..Outcome::default() }
     }
 }
 
@@ -323,7 +323,7 @@
 )]
 #[strum(serialize_all = "kebab-case")]
 #[repr(i32)]
-pub enum Verdict {
+pub enum NewBar {
     /// It took effect.
     Accepted = 0,
     /// The version or generation is not the expected one, another request holds the claim, or a VM
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::command::{Change, Outcome, Verdict};
+use super::command::{Change, NewBar, Outcome};
 use crate::object::Kind;
 use crate::Name;
 
@@ -127,7 +127,7 @@
     /// Applies a change that was not seen before, if its expected version matches.
     fn apply_new(&mut self, change: Change) -> Outcome {
         let Some(kind) = Kind::from_repr(change.kind) else {
-            return Outcome::of(Verdict::Refused);
+            return Outcome::of(NewBar::Refused);
         };
         let key = Key { kind, name: change.name.as_str().into() };
         let current = self.objects.get(&key);
@@ -136,25 +136,20 @@
         let visible_version = if exists { version } else { 0 };
         if change.expected.is_some_and(|expected| expected != visible_version) {
             let holder = current.and_then(|object| object.body.clone()).unwrap_or_default();
-            let verdict = Verdict::Conflict as i32;
+            let bar = NewBar::Conflict as i32;
             let revision = self.revision;
-            let outcome = Outcome {
-                verdict,
-                version: visible_version,
-                revision,
-                holder,
-                ..Outcome::default()
-            };
+            let outcome =
+                Outcome { bar, version: visible_version, revision, holder, ..Outcome::default() };
             return outcome;
         }
         if change.body.is_none() && !exists {
-            return Outcome::of(Verdict::Missing);
+            return Outcome::of(NewBar::Missing);
         }
         self.revision += 1;
         let version = version + 1;
         let name = key.name.clone();
         self.objects.insert(key, Object { kind, name, version, body: change.body });
-        Outcome { version, revision: self.revision, ..Outcome::of(Verdict::Accepted) }
+        Outcome { version, revision: self.revision, ..Outcome::of(NewBar::Accepted) }
     }
 
     /// Keeps the outcome of a change for resent ones; a change without an operation id is not kept.
--- a/crates/core/src/control/placements.rs
+++ b/crates/core/src/control/placements.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::command::{Member, Outcome, Place, Release, Verdict};
+use super::command::{Member, NewBar, Outcome, Place, Release};
 use crate::Name;
 
 /// VMs that are assigned to one group instance.
@@ -98,7 +98,7 @@
             || unavailable
             || has_duplicates(&place.members)
         {
-            return Outcome { version: generation, ..Outcome::of(Verdict::Conflict) };
+            return Outcome { version: generation, ..Outcome::of(NewBar::Conflict) };
         }
         let mut leaving = Vec::new();
         if let Some(placement) = current {
@@ -116,7 +116,7 @@
         let group: Name = place.group.into();
         self.groups.insert(group.clone(), placement);
         self.update_holders(&group);
-        Outcome { version: index, ..Outcome::of(Verdict::Accepted) }
+        Outcome { version: index, ..Outcome::of(NewBar::Accepted) }
     }
 
     /// Begins the release of a group or, if the command confirms a release, removes its placement.
@@ -124,11 +124,11 @@
     /// generations have left, and clears the list of them.
     pub(super) fn release(&mut self, index: u64, release: Release) -> Outcome {
         let Some(placement) = self.groups.get_mut(release.group.as_str()) else {
-            return Outcome::of(Verdict::Missing);
+            return Outcome::of(NewBar::Missing);
         };
         if placement.generation != release.generation {
             let version = placement.generation;
-            return Outcome { version, ..Outcome::of(Verdict::Conflict) };
+            return Outcome { version, ..Outcome::of(NewBar::Conflict) };
         }
         if !release.confirmed {
             placement.releasing = true;
@@ -139,7 +139,7 @@
             placement.leaving.clear();
         }
         self.update_holders(&release.group.into());
-        Outcome { version: index, ..Outcome::of(Verdict::Accepted) }
+        Outcome { version: index, ..Outcome::of(NewBar::Accepted) }
     }
 }
 
--- a/crates/core/src/control/usage.rs
+++ b/crates/core/src/control/usage.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::command::{Outcome, UsageBatch, UsageLine, Verdict};
+use super::command::{NewBar, Outcome, UsageBatch, UsageLine};
 
 /// Usage lines that are kept; beyond this the oldest ones are dropped.
 const LINES_KEPT: usize = 200_000;
@@ -35,7 +35,7 @@
     pub(super) fn explain(&self, request: &str) -> Outcome {
         match self.line(request) {
             Some(line) => Outcome { line: Some(line.clone()), ..Outcome::default() },
-            None => Outcome::of(Verdict::Missing),
+            None => Outcome::of(NewBar::Missing),
         }
     }
 
@@ -61,7 +61,7 @@
     pub(super) fn add(&mut self, batch: UsageBatch) -> Outcome {
         let last = self.batches.get(&batch.daemon).copied();
         if last.is_some_and(|last| batch.number <= last) {
-            return Outcome::of(Verdict::Recorded);
+            return Outcome::of(NewBar::Recorded);
         }
         if last.is_none() {
             self.daemons.push_back(batch.daemon.clone());
@@ -81,6 +81,6 @@
                 self.batches.remove(&oldest);
             }
         }
-        Outcome::of(Verdict::Accepted)
+        Outcome::of(NewBar::Accepted)
     }
 }
--- a/crates/core/src/state/serving/claiming.rs
+++ b/crates/core/src/state/serving/claiming.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Instant;
 use crate::control::command::{
-    Body as CommandBody, Claim, Outcome, Run, RunResult, Suspicion, Verdict,
+    Body as CommandBody, Claim, NewBar, Outcome, Run, RunResult, Suspicion,
 };
 use crate::count::Counter;
 use crate::effect::{Effect, Effects};
@@ -52,15 +52,15 @@
             self.refuse(now, id, Reason::ClaimsUnreachable, Some(RETRY_AFTER * 2), effects);
             return;
         };
-        match outcome.verdict() {
-            Verdict::Accepted => {
+        match outcome.bar() {
+            NewBar::Accepted => {
                 active.claimed = true;
                 self.queue_or_request_trial(now, id, effects);
             }
-            Verdict::Recorded => {
+            NewBar::Recorded => {
                 self.send_recorded_answer(id, &outcome, effects);
             }
-            Verdict::Mismatch => self.refuse(now, id, Reason::KeyReused, None, effects),
+            NewBar::Mismatch => self.refuse(now, id, Reason::KeyReused, None, effects),
             _ => self.refuse(now, id, Reason::InProgress, Some(RETRY_AFTER), effects),
         }
     }
@@ -132,7 +132,7 @@
         active.may_have_run = true;
         let recorded = outcome.as_ref().is_some_and(|outcome| {
             let recorded_before = outcome.result.as_ref().is_some_and(|r| r.run() == Run::Done);
-            outcome.verdict() == Verdict::Accepted || recorded_before
+            outcome.bar() == NewBar::Accepted || recorded_before
         });
         if !recorded {
             active.claimed = false;
--- a/crates/core/src/state/serving/suspecting.rs
+++ b/crates/core/src/state/serving/suspecting.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Instant;
 use crate::control::claims::CRASH_LIMIT;
-use crate::control::command::{Outcome, Suspicion, Verdict};
+use crate::control::command::{NewBar, Outcome, Suspicion};
 use crate::effect::Effects;
 use crate::policy::PROPOSAL_TIMEOUT;
 use crate::request::Reason;
@@ -61,8 +61,8 @@
         };
         let wait =
             Stage::AwaitingTrial(TrialRequest { route: None, retry_at: Some(now + TRIAL_RETRY) });
-        match (outcome.verdict(), pending.route) {
-            (Verdict::Accepted, Some(route)) => {
+        match (outcome.bar(), pending.route) {
+            (NewBar::Accepted, Some(route)) => {
                 active.in_trial = true;
                 let usable = self.routes.route(&route).is_some_and(|known| {
                     known.standing(now) == Standing::Accepting
@@ -75,7 +75,7 @@
                 active.stage = wait;
                 self.end_trial(now, id, Suspicion::Abandoned, effects);
             }
-            (Verdict::InProgress, _) => active.stage = wait,
+            (NewBar::InProgress, _) => active.stage = wait,
             _ => self.refuse(now, id, Reason::Crashes, None, effects),
         }
     }
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -1,7 +1,7 @@
 //! Property tests of the state machine to which the replicated logs apply their entries.
 
 use dotterelhoist_core::control::command::{
-    Body, Claim, Command, Member, Place, Release, Run, RunResult, Settle, Verdict,
+    Body, Claim, Command, Member, NewBar, Place, Release, Run, RunResult, Settle,
 };
 use dotterelhoist_core::control::StateMachine;
 use proptest::prelude::*;
@@ -124,10 +124,10 @@
                 state_machine = copy;
                 continue;
             };
-            let verdict = state_machine.apply(at as u64 + 1, Command::new(body)).verdict();
+            let bar = state_machine.apply(at as u64 + 1, Command::new(body)).bar();
             check_placements(&state_machine);
             match step {
-                Step::Claim { key, request, .. } if verdict == Verdict::Accepted => {
+                Step::Claim { key, request, .. } if bar == NewBar::Accepted => {
                     prop_assert!(
                         !keys_run.contains(key),
                         "a key whose request ran was granted again"
@@ -136,7 +136,7 @@
                     prop_assert!(other.is_none(), "a key was granted to two requests at once");
                     granted.push((*key, *request));
                 }
-                Step::Settle { key, run, .. } if verdict == Verdict::Accepted => {
+                Step::Settle { key, run, .. } if bar == NewBar::Accepted => {
                     granted.retain(|(granted, _)| granted != key);
                     if *run != Run::NotRun as i32 {
                         keys_run.push(*key);
--- a/crates/core/tests/system/history.rs
+++ b/crates/core/tests/system/history.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use dotterelhoist_core::control::command::{Change, Outcome, Run, Verdict};
+use dotterelhoist_core::control::command::{Change, NewBar, Outcome, Run};
 use dotterelhoist_core::request::Reason;
 
 use crate::world::Submission;
@@ -205,7 +205,7 @@
     pub fn check_in_force(&self, node: usize, limit: u64) {
         for request in &self.changes {
             let Some((outcome, at)) = &request.outcome else { continue };
-            if outcome.verdict() != Verdict::Accepted {
+            if outcome.bar() != NewBar::Accepted {
                 continue;
             }
             let reached = self.in_force.get(&(node, outcome.revision));
@@ -227,7 +227,7 @@
     let mut accepted: BTreeMap<u64, Vec<&ChangeRequest>> = BTreeMap::new();
     for request in changes {
         let Some((outcome, _)) = &request.outcome else { continue };
-        if outcome.verdict() == Verdict::Accepted {
+        if outcome.bar() == NewBar::Accepted {
             accepted.entry(outcome.version).or_default().push(request);
         }
     }
@@ -263,7 +263,7 @@
     }
     for request in changes {
         let Some((outcome, ended)) = &request.outcome else { continue };
-        if outcome.verdict() != Verdict::Conflict {
+        if outcome.bar() != NewBar::Conflict {
             continue;
         }
         let mut operations: Vec<&str> = changes
@@ -296,5 +296,5 @@
 
 /// Whether a change was accepted, or has no recorded outcome and so may have been accepted.
 fn may_have_been_accepted(request: &ChangeRequest) -> bool {
-    request.outcome.as_ref().is_none_or(|(outcome, _)| outcome.verdict() == Verdict::Accepted)
+    request.outcome.as_ref().is_none_or(|(outcome, _)| outcome.bar() == NewBar::Accepted)
 }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use dotterelhoist_core::control::command::{Change, Outcome, Run, UsageLine, Verdict};
+use dotterelhoist_core::control::command::{Change, NewBar, Outcome, Run, UsageLine};
 use dotterelhoist_core::control::configuration::Object;
 use dotterelhoist_core::effect::Answer;
 use dotterelhoist_core::event::Operation;
@@ -49,7 +49,7 @@
 /// Answer to a request to change the configuration.
 #[derive(Serialize)]
 struct ChangeReply {
-    verdict: String,
+    bar: String,
     /// Version of the object.
     version: u64,
     /// Revision of the configuration after the change.
@@ -227,16 +227,16 @@
 
 /// Makes the response to a change from its outcome.
 fn change_response(outcome: &Outcome) -> Response {
-    let verdict = outcome.verdict();
-    let status = match verdict {
-        Verdict::Accepted => StatusCode::Ok,
-        Verdict::Conflict => StatusCode::Conflict,
-        Verdict::Missing => StatusCode::NotFound,
+    let bar = outcome.bar();
+    let status = match bar {
+        NewBar::Accepted => StatusCode::Ok,
+        NewBar::Conflict => StatusCode::Conflict,
+        NewBar::Missing => StatusCode::NotFound,
         _ => StatusCode::BadRequest,
     };
     let current = serde_json::from_str(&outcome.holder).ok();
     let reply = ChangeReply {
-        verdict: verdict.to_string(),
+        bar: bar.to_string(),
         version: outcome.version,
         revision: outcome.revision,
         current,
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -14,7 +14,7 @@
 use dotterelhoist_core::replica::{Identity, Output, Replica, Stored, Timing, Write};
 use prost::Message;
 
-use crate::crash::judge::Judge;
+use crate::crash::attribution::Attribution;
 use crate::document::{Document, Finding};
 use crate::endpoint::Heartbeat;
 use crate::journal;
@@ -198,8 +198,8 @@
     endpoints: endpoints::Table,
     planner: Planner,
     distributor: Distributor,
-    /// Judges what lost responses are evidence of.
-    judge: Judge,
+    /// Which endpoints ended with lost responses, and under which requests.
+    attribution: Attribution,
     /// Limits that endpoints state.
     limits: Limits,
     /// All other control daemons that this one knows of and connects to.
@@ -256,7 +256,7 @@
         let mut state = State {
             planner: Planner::new(setup.times),
             distributor: Distributor::default(),
-            judge: Judge::default(),
+            attribution: Attribution::default(),
             limits: Limits::default(),
             reader,
             replica,
@@ -344,7 +344,7 @@
         self.forward_heartbeats(now, effects);
         self.endpoints.remove_expired(now);
         self.limits.expire(now, &self.endpoints);
-        self.judge_crashes(now, effects);
+        self.attribute_crashes(now, effects);
         let leads = self.replica.can_serve_reads(now);
         if leads != self.leading {
             self.leading = leads;
@@ -407,7 +407,7 @@
                 for limit in &report.limits {
                     self.limits.record(now, limit, &self.endpoints);
                 }
-                self.judge.record_report(now, &report);
+                self.attribution.record_report(now, &report);
                 self.distributor.record_report(now, &from, report);
             }
             Body::Reserve(reserve) => self.assign_slot(now, from, reserve, effects),
@@ -460,9 +460,9 @@
     ) {
         match &outcome {
             probe::Outcome::Report(heartbeat) => {
-                self.judge.record_answer(id, Some(heartbeat.started_unix_ms));
+                self.attribution.record_answer(id, Some(heartbeat.started_unix_ms));
             }
-            probe::Outcome::Answered => self.judge.record_answer(id, None),
+            probe::Outcome::Answered => self.attribution.record_answer(id, None),
             probe::Outcome::Refused | probe::Outcome::Unanswered => {}
         }
         let Some(endpoint) = self.endpoints.find_mut(id) else { return };
--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -1,10 +1,10 @@
-//! Evidence of the ends of endpoints, for the [`Judge`](crate::crash::judge::Judge).
+//! Evidence of the ends of endpoints, for the [`Attribution`](crate::crash::attribution::Attribution).
 
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
 
-use crate::crash::judge::{Evidence, Incarnation, Verdict};
+use crate::crash::attribution::{Evidence, Incarnation, NewBar};
 use crate::journal;
 
 use super::{Effect, State};
@@ -14,19 +14,20 @@
 const PROGRESS_MARGIN: Duration = Duration::from_millis(150);
 
 impl<Decoder> State<Decoder> {
-    /// Judges the losses that entry daemons have reported, and probes endpoints whose end is not certain.
-    pub(super) fn judge_crashes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let mut judge = std::mem::take(&mut self.judge);
-        let findings =
-            judge.judge(now, |incarnation, lost_at| self.evidence(now, incarnation, lost_at));
-        self.judge = judge;
+    /// Decides what the losses that entry daemons have reported are evidence of, and probes endpoints whose
+    /// end is not certain.
+    pub(super) fn attribute_crashes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let mut attribution = std::mem::take(&mut self.attribution);
+        let findings = attribution
+            .update(now, |incarnation, lost_at| self.evidence(now, incarnation, lost_at));
+        self.attribution = attribution;
         for Incarnation { endpoint, started_unix_ms } in findings.ended {
             let detail = format!("started_unix_ms={started_unix_ms}");
             let event =
                 journal::Event::new(213, "endpoint ended with requests", &*endpoint, detail);
             effects.push(Effect::Log(event));
         }
-        for Verdict { feature, ends } in findings.verdicts {
+        for NewBar { feature, ends } in findings.new_bars {
             let subject = format!("{:x}", feature.0);
             let detail = format!("ends={ends}");
             effects.push(Effect::Log(journal::Event::new(214, "requests barred", subject, detail)));
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -315,16 +315,16 @@
     /// Builds the status of this daemon.
     fn status(&self, now: Instant) -> Status {
         let own = std::iter::once(&self.setup.daemon);
-        let bars = self.judge.bars(now);
+        let bars = self.attribution.bars(now);
         Status {
             up_to_date: self.replica.is_up_to_date(now),
             version: self.state_machine.version(),
             control_daemons: own.chain(&self.control_daemons).map(ToString::to_string).collect(),
             entry_daemons: self.distributor.subscribers.len() as u32,
             crashing: bars.iter().map(|bar| bar.feature).collect(),
-            suspected: self.judge.suspected(),
+            suspected: self.attribution.suspected(),
             bars,
-            judges: true,
+            takes_losses: true,
             relays: Vec::new(),
             leads: self.replica.leads(now),
             document_age_ms: now.since(self.distributor.documents.applied_at).as_millis() as u32,
--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -3,7 +3,7 @@
 //! Callers send such requests again under new ids, and requests with one prompt segment may crash
 //! endpoints whatever else they contain. So what is counted is a [`Feature`], which other requests
 //! may share. An entry daemon reports which responses it has lost, and answers that survived
-//! ([`losses`]). The control daemons alone judge what a loss is evidence of ([`judge`]): whether an
+//! ([`losses`]). The control daemons alone judge what a loss is evidence of ([`attribution`]): whether an
 //! endpoint has ended, and which feature of the requests that it took along is the cause. All
 //! daemons hold the resulting [`bars`].
 //!
@@ -12,8 +12,8 @@
 
 use smallvec::SmallVec;
 
+pub mod attribution;
 pub mod bars;
-pub mod judge;
 pub mod losses;
 pub mod older;
 
--- a/crates/fleet/src/crash/judge.rs
+++ b/crates/fleet/src/crash/attribution.rs
@@ -25,7 +25,7 @@
 /// Number of ends from which on a feature is suspected: entry daemons are asked for survivals.
 const SUSPICION_LIMIT: u32 = 2;
 /// Time for which entry daemons are asked for survivals before a feature is barred.
-const HEARING_TIME: Duration = Duration::from_millis(600);
+const SURVIVAL_WAIT: Duration = Duration::from_millis(600);
 /// Endpoints that end within this time of each other have one cause, which is no request: they count
 /// as one end.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(50);
@@ -71,7 +71,7 @@
 
 /// An incarnation that lost responses.
 #[derive(Debug)]
-struct Suspect {
+struct Case {
     /// When its first response was lost.
     lost_at: Instant,
     service: Name,
@@ -94,14 +94,14 @@
 
 /// A feature that was barred.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct NewBar {
     /// The feature.
     pub feature: Feature,
     /// Number of ends that count against it.
     pub ends: u32,
 }
 
-/// What a round of judging has changed.
+/// What an update has changed.
 #[derive(Debug, Default)]
 pub struct Findings {
     /// Incarnations that have ended with lost responses.
@@ -109,15 +109,16 @@
     /// Endpoints to probe.
     pub probes: Vec<Name>,
     /// Features that are barred from now on.
-    pub verdicts: Vec<Verdict>,
+    pub new_bars: Vec<NewBar>,
     /// Whether entry daemons are to be told of a change at once.
     pub changed: bool,
 }
 
-/// The judge of a control daemon.
+/// The losses that entry daemons have reported to a control daemon, and what follows from them.
 #[derive(Debug, Default)]
-pub struct Judge {
-    suspects: BTreeMap<Incarnation, Suspect>,
+pub struct Attribution {
+    /// Incarnations that lost responses.
+    cases: BTreeMap<Incarnation, Case>,
     /// Last survival with each feature.
     survivals: BTreeMap<Feature, Instant>,
     /// Last survival of any request to each service.
@@ -135,7 +136,7 @@
     is_changed: bool,
 }
 
-impl Judge {
+impl Attribution {
     /// Records what an entry daemon reports.
     pub fn record_report(&mut self, now: Instant, report: &Report) {
         self.is_changed |= self.bars.merge(now, &report.bars);
@@ -169,14 +170,14 @@
         let is_other = |incarnation: &Incarnation| {
             started_unix_ms.is_some_and(|started| started > incarnation.started_unix_ms)
         };
-        self.suspects.retain(|incarnation, suspect| {
-            incarnation.endpoint != *endpoint || suspect.ended || is_other(incarnation)
+        self.cases.retain(|incarnation, case| {
+            incarnation.endpoint != *endpoint || case.ended || is_other(incarnation)
         });
     }
 
     /// Weighs the evidence and bars features. `evidence` tells what is known of an incarnation that lost
     /// its first response at the given time.
-    pub fn judge<Known>(&mut self, now: Instant, evidence: Known) -> Findings
+    pub fn update<Known>(&mut self, now: Instant, evidence: Known) -> Findings
     where
         Known: Fn(&Incarnation, Instant) -> Evidence,
     {
@@ -187,7 +188,7 @@
         if may_change && now.since(self.counted_at) >= COUNT_INTERVAL {
             self.is_stale = false;
             self.counted_at = now;
-            findings.verdicts = self.pass_verdicts(now);
+            findings.new_bars = self.bar_features(now);
             self.update_suspected(now);
         }
         findings.changed = std::mem::take(&mut self.is_changed);
@@ -209,17 +210,17 @@
         let endpoint = loss.endpoint.as_str().into();
         let incarnation = Incarnation { endpoint, started_unix_ms: loss.started_unix_ms };
         let lost_at = now.before(Duration::from_millis(loss.age_ms.into()));
-        let suspect = self.suspects.entry(incarnation).or_insert_with(|| Suspect {
+        let case = self.cases.entry(incarnation).or_insert_with(|| Case {
             lost_at,
             service: loss.service.as_str().into(),
             features: BTreeSet::new(),
             ended: false,
             probed_at: None,
         });
-        suspect.lost_at = suspect.lost_at.min(lost_at);
-        let room = FEATURES_MAX.saturating_sub(suspect.features.len());
-        suspect.features.extend(loss.features.iter().take(room).map(|feature| Feature(*feature)));
-        self.is_stale |= suspect.ended;
+        case.lost_at = case.lost_at.min(lost_at);
+        let room = FEATURES_MAX.saturating_sub(case.features.len());
+        case.features.extend(loss.features.iter().take(room).map(|feature| Feature(*feature)));
+        self.is_stale |= case.ended;
     }
 
     /// Finds out which incarnations have ended, and which endpoints to probe.
@@ -227,21 +228,21 @@
     where
         Known: Fn(&Incarnation, Instant) -> Evidence,
     {
-        self.suspects.retain(|incarnation, suspect| {
-            if suspect.ended || now.since(suspect.lost_at) < CONTRADICTION_TIME {
+        self.cases.retain(|incarnation, case| {
+            if case.ended || now.since(case.lost_at) < CONTRADICTION_TIME {
                 return true;
             }
-            match evidence(incarnation, suspect.lost_at) {
+            match evidence(incarnation, case.lost_at) {
                 Evidence::Ended => {
-                    suspect.ended = true;
+                    case.ended = true;
                     self.is_stale = true;
                     findings.ended.push(incarnation.clone());
                 }
                 Evidence::NoCrash => return false,
                 Evidence::Unreachable => {}
                 Evidence::Unknown => {
-                    if suspect.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL) {
-                        suspect.probed_at = Some(now);
+                    if case.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL) {
+                        case.probed_at = Some(now);
                         findings.probes.push(incarnation.endpoint.clone());
                     }
                 }
@@ -250,23 +251,24 @@
         });
     }
 
-    /// Bars the features that have been heard and have the most ends, until none is left.
-    fn pass_verdicts(&mut self, now: Instant) -> Vec<Verdict> {
-        let mut verdicts = Vec::new();
+    /// Bars the features that entry daemons were asked about for long enough and that have the most ends,
+    /// until none is left.
+    fn bar_features(&mut self, now: Instant) -> Vec<NewBar> {
+        let mut new_bars = Vec::new();
         loop {
             let tallies = self.tally();
             let due = tallies.iter().filter(|(feature, tally)| {
-                let heard = self.suspected.get(feature);
+                let asked_since = self.suspected.get(feature);
                 tally.ends >= CRASH_LIMIT
                     && tally.has_contrast
-                    && heard.is_some_and(|since| now.since(*since) >= HEARING_TIME)
+                    && asked_since.is_some_and(|since| now.since(*since) >= SURVIVAL_WAIT)
             });
             let due: Vec<(Feature, Tally)> =
                 due.map(|(feature, tally)| (*feature, *tally)).collect();
-            let Some(most) = due.iter().map(|(_, tally)| tally.ends).max() else { return verdicts };
+            let Some(most) = due.iter().map(|(_, tally)| tally.ends).max() else { return new_bars };
             for (feature, tally) in due.into_iter().filter(|(_, tally)| tally.ends == most) {
                 self.bars.add(feature, now + BAR_TTL);
-                verdicts.push(Verdict { feature, ends: tally.ends });
+                new_bars.push(NewBar { feature, ends: tally.ends });
             }
             self.is_changed = true;
         }
@@ -275,18 +277,16 @@
     /// Counts the ends against each feature. An end with a barred feature is explained and counts for
     /// no other.
     fn tally(&self) -> BTreeMap<Feature, Tally> {
-        let explained = |suspect: &&Suspect| {
-            suspect.features.iter().any(|feature| self.bars.contains(*feature))
-        };
-        let mut ended: Vec<&Suspect> =
-            self.suspects.values().filter(|suspect| suspect.ended).collect();
-        ended.retain(|suspect| !explained(suspect));
-        ended.sort_by_key(|suspect| suspect.lost_at);
+        let explained =
+            |case: &&Case| case.features.iter().any(|feature| self.bars.contains(*feature));
+        let mut ended: Vec<&Case> = self.cases.values().filter(|case| case.ended).collect();
+        ended.retain(|case| !explained(case));
+        ended.sort_by_key(|case| case.lost_at);
         let mut tallies: BTreeMap<Feature, Tally> = BTreeMap::new();
-        for suspect in ended {
-            let at = suspect.lost_at;
-            let survived = self.services.get(&suspect.service).is_some_and(|last| *last >= at);
-            for feature in &suspect.features {
+        for case in ended {
+            let at = case.lost_at;
+            let survived = self.services.get(&case.service).is_some_and(|last| *last >= at);
+            for feature in &case.features {
                 if self.survivals.get(feature).is_some_and(|survived| *survived >= at) {
                     continue;
                 }
@@ -322,14 +322,14 @@
 
     /// Drops what no longer counts.
     fn expire(&mut self, now: Instant) {
-        self.suspects.retain(|_, suspect| {
-            let limit = if suspect.ended { END_TTL } else { CONFIRMATION_WINDOW };
-            now.since(suspect.lost_at) < limit
+        self.cases.retain(|_, case| {
+            let limit = if case.ended { END_TTL } else { CONFIRMATION_WINDOW };
+            now.since(case.lost_at) < limit
         });
-        while self.suspects.len() > ENDS_MAX {
-            let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.lost_at);
+        while self.cases.len() > ENDS_MAX {
+            let oldest = self.cases.iter().min_by_key(|(_, case)| case.lost_at);
             let Some(oldest) = oldest.map(|(incarnation, _)| incarnation.clone()) else { break };
-            self.suspects.remove(&oldest);
+            self.cases.remove(&oldest);
         }
         self.survivals.retain(|_, at| now.since(*at) < END_TTL);
         self.bars.expire(now);
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -154,7 +154,7 @@
 
     /// The bars that it did not state in its newest status; none if it takes no bars.
     fn lacks(&self, bars: &Bars, now: Instant) -> Vec<Bar> {
-        let status = self.status.as_ref().filter(|status| status.judges);
+        let status = self.status.as_ref().filter(|status| status.takes_losses);
         status.map_or_else(Vec::new, |status| bars.list_unknown(now, &status.bars))
     }
 }
--- a/crates/fleet/src/entry/barring.rs
+++ b/crates/fleet/src/entry/barring.rs
@@ -84,7 +84,7 @@
     /// Adds the bars that a control daemon states, and refuses the queued requests that they concern.
     pub(super) fn apply_bars(&mut self, now: Instant, status: &Status, effects: &mut Vec<Effect>) {
         let mut changed = self.bars.merge(now, &status.bars);
-        if !status.judges {
+        if !status.takes_losses {
             for fingerprint in &status.crashing {
                 changed |= self.bars.add(Feature(*fingerprint), now + BAR_TTL);
             }
--- a/crates/fleet/src/entry/hedging.rs
+++ b/crates/fleet/src/entry/hedging.rs
@@ -17,7 +17,7 @@
 
 use super::serving::{Active, Phase, REMAINING_TIME_MIN, TRIED_ENDPOINTS_MAX};
 use super::targets::{Choice, Silence};
-use super::{Decision, Effect, End, State};
+use super::{Attempt, Decision, Effect, End, State};
 
 /// Silence of an endpoint after which a response whose first part the caller has is continued at
 /// another endpoint. Its next part is late anyway, but callers abandon a stream that pauses for two
@@ -135,27 +135,38 @@
         if !active.may_be_hedged(now, silence) || self.is_request_barred(&active.request) {
             return false;
         }
-        let random = self.next_random();
-        let Some(active) = self.requests.get(&id) else { return false };
         let service = active.requirement.0.clone();
-        let cut_off = self.targets.is_cut_off(now);
-        let choice = self.targets.choose(&active.requirement, &active.tried, now, random);
-        if !cut_off && !matches!(choice, Choice::Endpoint(_)) || !self.budget.allows(&service) {
+        if !self.budget.allows(&service) {
             return false;
         }
-        let relay = if cut_off { self.start_relay(now, id, effects) } else { None };
-        let attempt = match (relay, choice) {
-            (Some(attempt), _) => Some(attempt),
-            (None, Choice::Endpoint(target)) => self.start_attempt(now, id, &target),
-            (None, _) => None,
-        };
-        let Some(attempt) = attempt else { return false };
+        let Some(attempt) = self.start_second_attempt(now, id, effects) else { return false };
         self.budget.withdraw(&service);
         let Some(active) = self.requests.get_mut(&id) else { return false };
         active.hedge = Some(attempt.target.clone());
         effects.push(Effect::Decide(id, Decision::Hedge(attempt)));
         true
     }
+
+    /// Starts an attempt at a relay, if this daemon seems to be cut off from the endpoints and there is
+    /// one, or else at an endpoint with a free slot.
+    fn start_second_attempt(
+        &mut self,
+        now: Instant,
+        id: u64,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Attempt> {
+        if self.targets.is_cut_off(now) {
+            if let Some(attempt) = self.start_relay(now, id, effects) {
+                return Some(attempt);
+            }
+        }
+        let random = self.next_random();
+        let active = self.requests.get(&id)?;
+        match self.targets.choose(&active.requirement, &active.tried, now, random) {
+            Choice::Endpoint(target) => self.start_attempt(now, id, &target),
+            Choice::Full | Choice::None => None,
+        }
+    }
 }
 
 impl Active {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -82,9 +82,9 @@
     /// Features whose requests are to be refused.
     #[prost(message, repeated, tag = "9")]
     pub bars: Vec<Bar>,
-    /// Whether the sender judges the losses of reports; an older one counts [`Report::crashed`] instead.
+    /// Whether the sender takes [`Report::losses`]; an older one counts [`Report::crashed`] instead.
     #[prost(bool, tag = "10")]
-    pub judges: bool,
+    pub takes_losses: bool,
     /// IP addresses of entry daemons to which the receiver may relay requests; empty unless its last
     /// report had [`Report::needs_relay`].
     #[prost(string, repeated, tag = "11")]
@@ -316,7 +316,7 @@
     /// Limits that responses have stated since the last report to the receiver.
     #[prost(message, repeated, tag = "9")]
     pub limits: Vec<Limit>,
-    /// Responses that were lost since the last report to the receiver, if it judges them.
+    /// Responses that were lost since the last report to the receiver, if it takes them.
     #[prost(message, repeated, tag = "10")]
     pub losses: Vec<Loss>,
     /// Survivals with the features that control daemons suspect.
--- a/crates/fleet/tests/control/evidence.rs
+++ b/crates/fleet/tests/control/evidence.rs
@@ -26,7 +26,7 @@
 
 fn befall(cluster: &mut Cluster, head: &Name, fate: Fate) {
     match fate {
-        Fate::Killed => cluster.kill_engines(&[head.clone()]),
+        Fate::Killed => cluster.kill_engines(std::slice::from_ref(head)),
         Fate::Restarted => cluster.restart_engine(head),
         Fate::Partitioned => {
             cluster.engines.get_mut(head).expect("it exists").partitioned = true;
--- a/crates/fleet/tests/crash.rs
+++ b/crates/fleet/tests/crash.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
+use dotterelhoist_fleet::crash::attribution::{Attribution, Evidence};
 use dotterelhoist_fleet::crash::bars::{Bars, BAR_TTL};
-use dotterelhoist_fleet::crash::judge::{Evidence, Judge};
 use dotterelhoist_fleet::crash::Feature;
 use dotterelhoist_fleet::message::{Bar, Loss, Report, ServiceSurvival, Survival};
 use proptest::prelude::*;
@@ -18,10 +18,10 @@
 /// Time between two ends.
 const INTERVAL: Duration = Duration::from_millis(300);
 
-/// A judge under test; what it finds out about endpoints is always the same.
+/// What lost responses are attributed to; the evidence of all endpoints is the same.
 struct Harness {
     now: Instant,
-    judge: Judge,
+    attribution: Attribution,
     evidence: Evidence,
     barred: Vec<u64>,
     probes: usize,
@@ -31,8 +31,8 @@
 impl Harness {
     fn open(evidence: Evidence) -> Harness {
         let now = Instant::from_millis(3_600_000);
-        let (judge, barred, probes, incarnations) = Default::default();
-        Harness { now, judge, evidence, barred, probes, incarnations }
+        let (attribution, barred, probes, incarnations) = Default::default();
+        Harness { now, attribution, evidence, barred, probes, incarnations }
     }
 
     /// A new incarnation loses requests with these features.
@@ -58,7 +58,7 @@
     }
 
     fn report(&mut self, report: Report) {
-        self.judge.record_report(self.now, &report);
+        self.attribution.record_report(self.now, &report);
     }
 
     fn advance(&mut self, span: Duration) {
@@ -66,9 +66,9 @@
         while self.now < end {
             self.now = self.now + Duration::from_millis(25);
             let evidence = self.evidence;
-            let findings = self.judge.judge(self.now, |_, _| evidence);
+            let findings = self.attribution.update(self.now, |_, _| evidence);
             self.probes += findings.probes.len();
-            self.barred.extend(findings.verdicts.iter().map(|verdict| verdict.feature.0));
+            self.barred.extend(findings.new_bars.iter().map(|bar| bar.feature.0));
         }
     }
 }
@@ -156,14 +156,14 @@
 }
 
 #[test]
-fn feature_is_heard_before_it_is_barred() {
+fn survivals_are_asked_for_before_a_feature_is_barred() {
     let mut harness = Harness::open(Evidence::Ended);
     for _ in 0..4 {
         harness.lose(&[GUILTY, COMMON]);
         harness.advance(INTERVAL / 3);
     }
     harness.advance(INTERVAL);
-    assert_eq!(harness.judge.suspected(), [GUILTY, COMMON]);
+    assert_eq!(harness.attribution.suspected(), [GUILTY, COMMON]);
     harness.survive(&[COMMON]);
     harness.advance(INTERVAL * 3);
     assert_eq!(harness.barred, [GUILTY]);
@@ -186,10 +186,10 @@
 fn crashes_counted_by_older_entry_daemons_are_barred() {
     let mut harness = Harness::open(Evidence::Unknown);
     for _ in 0..3 {
-        assert!(harness.judge.bars(harness.now).is_empty());
+        assert!(harness.attribution.bars(harness.now).is_empty());
         harness.report(Report { crashed: vec![GUILTY], ..Report::default() });
     }
-    assert_eq!(harness.judge.bars(harness.now)[0].feature, GUILTY);
+    assert_eq!(harness.attribution.bars(harness.now)[0].feature, GUILTY);
 }
 
 /// The same reports of a daemon that also reports its losses are for older control daemons only.
@@ -200,7 +200,7 @@
         let report = Report { crashed: vec![GUILTY], ..Report::default() };
         harness.report(Report { reports_losses: true, ..report });
     }
-    assert!(harness.judge.bars(harness.now).is_empty());
+    assert!(harness.attribution.bars(harness.now).is_empty());
 }
 
 proptest! {
--- a/crates/fleet/tests/entry/barring.rs
+++ b/crates/fleet/tests/entry/barring.rs
@@ -24,12 +24,12 @@
 }
 
 /// The status of a control daemon that bars [`SEGMENT`] or suspects it.
-fn judge(harness: &mut Harness, from: &str, barred: bool, suspected: bool) {
+fn state(harness: &mut Harness, from: &str, barred: bool, suspected: bool) {
     let bar = Bar { feature: SEGMENT, left_ms: 60_000 };
     let status = Status {
         bars: if barred { vec![bar] } else { Vec::new() },
         suspected: if suspected { vec![SEGMENT] } else { Vec::new() },
-        judges: true,
+        takes_losses: true,
         ..harness.status_of(1, &[])
     };
     harness.apply(Event::Received(from.into(), Body::Status(status)));
@@ -43,7 +43,7 @@
 #[test]
 fn request_with_a_barred_segment_is_refused_without_a_retry_time() {
     let mut harness = harness();
-    judge(&mut harness, SELECTED_CONTROL, true, false);
+    state(&mut harness, SELECTED_CONTROL, true, false);
     send_with_segment(&mut harness, 1);
     let refusal = harness.refusal(1);
     assert_eq!((refusal.reason, refusal.retry_after), (Reason::Crashing, None));
@@ -59,7 +59,7 @@
     }
     send_with_segment(&mut harness, 9);
     assert_eq!(harness.last_decision(9), None);
-    judge(&mut harness, SELECTED_CONTROL, true, false);
+    state(&mut harness, SELECTED_CONTROL, true, false);
     let refusal = harness.refusal(9);
     assert_eq!((refusal.reason, refusal.retry_after), (Reason::Crashing, None));
 }
@@ -68,7 +68,7 @@
 fn request_whose_segment_is_barred_is_not_retried() {
     let mut harness = harness();
     send_with_segment(&mut harness, 1);
-    judge(&mut harness, SELECTED_CONTROL, true, false);
+    state(&mut harness, SELECTED_CONTROL, true, false);
     harness.apply(Event::AttemptEnded(1, LOST));
     assert_eq!(harness.refusal(1).reason, Reason::Lost);
 }
@@ -76,8 +76,8 @@
 #[test]
 fn bar_is_told_to_control_daemons_that_lack_it() {
     let mut harness = harness();
-    judge(&mut harness, UNSELECTED_CONTROL, false, false);
-    judge(&mut harness, SELECTED_CONTROL, true, false);
+    state(&mut harness, UNSELECTED_CONTROL, false, false);
+    state(&mut harness, SELECTED_CONTROL, true, false);
     harness.unselected_reports.clear();
     harness.advance(200);
     let told = harness.unselected_reports.iter().any(|report| report.bars[0].feature == SEGMENT);
@@ -117,7 +117,7 @@
     harness.state.record_response_start(1, harness.now);
     harness.now = harness.now + Duration::from_millis(after_ms);
     harness.apply(Event::AttemptEnded(1, end));
-    judge(&mut harness, UNSELECTED_CONTROL, false, true);
+    state(&mut harness, UNSELECTED_CONTROL, false, true);
     harness.advance(100);
     let reports = harness.unselected_reports.iter();
     let survived = reports.flat_map(|report| &report.survivals).any(|it| it.feature == SEGMENT);
