The loss of a relay is no crash of an endpoint

Beside control daemons of an older build, a daemon that lost a relay reported the request as crashing, since the relay is in no view (loss_of_a_relay_is_no_crash_of_an_endpoint failed before). Losses are recorded of endpoints only.

--- a/crates/fleet/src/entry/barring.rs
+++ b/crates/fleet/src/entry/barring.rs
@@ -27,7 +27,7 @@
         let survived = begun_at.is_some_and(|at| now.since(at) >= SURVIVAL_TIME);
         match end {
             End::Answered => self.record_survival(now, id),
-            End::Lost(loss) if !loss.is_of_endpoint() => {}
+            End::Lost(loss) if !loss.is_of_endpoint() || is_relay(target) => {}
             End::Lost(_) => {
                 self.older_losses.record(active.request.fingerprint, target.clone(), now);
                 match survived {
@@ -41,6 +41,9 @@
 
     /// Records that another endpoint had to answer a request because `target` was silent.
     pub(super) fn record_silence(&mut self, now: Instant, id: u64, target: &Name) {
+        if is_relay(target) {
+            return;
+        }
         let Some(active) = self.requests.get(&id) else { return };
         self.older_losses.record_silence(active.request.fingerprint, target.clone(), now);
         self.record_loss(now, id, target);
@@ -53,9 +56,6 @@
     }
 
     fn record_loss(&mut self, now: Instant, id: u64, target: &Name) {
-        if is_relay(target) {
-            return;
-        }
         let Some(active) = self.requests.get(&id) else { return };
         self.losses.record(Loss {
             endpoint: target.clone(),
--- a/crates/fleet/tests/entry/relaying.rs
+++ b/crates/fleet/tests/entry/relaying.rs
@@ -141,6 +141,16 @@
     assert_eq!(harness.refusal(1).reason, Reason::Lost);
 }
 
+/// Control daemons of older builds would count it as a crash of the request.
+#[test]
+fn loss_of_a_relay_is_no_crash_of_an_endpoint() {
+    let mut harness = harness(TWO_PLAIN);
+    send_until_relayed(&mut harness, 1, "/book/x");
+    harness.apply(Event::AttemptEnded(1, LOST));
+    harness.advance(500);
+    assert!(harness.reported_crashes.is_empty());
+}
+
 #[test]
 fn stream_that_a_relay_has_lost_is_continued_by_another() {
     let mut harness = harness(TWO_GROUPS);
