--- a/crates/fleet/src/entry/relaying.rs
+++ b/crates/fleet/src/entry/relaying.rs
@@ -27,8 +27,7 @@
 where
     Decoder: Reader,
 {
-    /// Relays a request if this daemon seems to be cut off from the endpoints, or if the request could
-    /// not be sent to any that it reaches. Returns whether it does.
+    /// Relays a request; returns false if there is no relay for it.
     pub(super) fn relay(&mut self, now: Instant, id: u64, effects: &mut Vec<Effect>) -> bool {
         let Some(attempt) = self.start_relay(now, id, effects) else { return false };
         let Some(active) = self.requests.get_mut(&id) else { return false };
@@ -41,8 +40,11 @@
 
     /// Whether a request had better be relayed than sent to an endpoint.
     pub(super) fn prefers_relay(&self, now: Instant, active: &Active) -> bool {
+        if self.targets.is_cut_off(now) {
+            return true;
+        }
         let failed_to_connect = active.tried.iter().any(|id| self.targets.is_unreachable(id, now));
-        self.targets.is_cut_off(now) || failed_to_connect && self.targets.unreachable(now) >= 2
+        failed_to_connect && self.targets.are_several_unreachable(now)
     }
 
     /// Counts a new attempt of a request over a relay and describes it; none if there is no relay that
--- a/crates/fleet/src/entry/targets/health.rs
+++ b/crates/fleet/src/entry/targets/health.rs
@@ -174,9 +174,11 @@
             .any(|target| failed(target.suspected_at) || failed(target.unreachable_at))
     }
 
-    /// Number of endpoints in the view that could not be connected to within [`CUT_TTL`].
-    pub(in crate::entry) fn unreachable(&self, now: Instant) -> usize {
-        self.targets.keys().filter(|id| self.is_unreachable(id, now)).count()
+    /// Whether several endpoints in the view could not be connected to within [`CUT_TTL`], whatever
+    /// others send on open connections.
+    pub(in crate::entry) fn are_several_unreachable(&self, now: Instant) -> bool {
+        let unreachable = self.targets.keys().filter(|id| self.is_unreachable(id, now));
+        unreachable.count() >= CUT_ENDPOINTS_MIN
     }
 
     /// Whether an endpoint in the view could not be connected to within [`CUT_TTL`].
