--- a/crates/fleet/src/crash/attribution.rs
+++ b/crates/fleet/src/crash/attribution.rs
@@ -252,7 +252,7 @@
     }
 
     /// Bars the features that entry daemons were asked about for long enough and that have the most ends,
-    /// until none is left.
+    /// until none is left: each round explains the ends of at least one of them.
     fn bar_features(&mut self, now: Instant) -> Vec<NewBar> {
         let mut new_bars = Vec::new();
         loop {
