--- a/crates/fleet/tests/entry/relaying.rs
+++ b/crates/fleet/tests/entry/relaying.rs
@@ -89,6 +89,25 @@
     }
 }
 
+/// The ejections double with each failure to connect; at the end of a cut they must not go on for seconds.
+#[test]
+fn endpoints_are_used_again_once_one_of_them_can_be_connected_to() {
+    let mut harness = Harness::open(FOUR_PLAIN);
+    for (id, pause_ms) in [(1, 800), (2, 1000), (3, 2000), (4, 800)] {
+        harness.send(id, "/read/x");
+        for _ in FOUR_PLAIN {
+            assert!(!harness.attempt(id).relay);
+            harness.apply(Event::AttemptEnded(id, End::Unreachable));
+        }
+        harness.ticks(pause_ms);
+    }
+    harness.send(5, "/read/x");
+    assert_eq!(harness.last_decision(5), None);
+    harness.state.record_connected(&"p1".into());
+    harness.ticks(25);
+    assert!(matches!(harness.last_decision(5), Some(Decision::Send(_))));
+}
+
 #[test]
 fn request_is_not_relayed_if_one_endpoint_is_silent() {
     let mut harness = harness(TWO_GROUPS);
