--- a/crates/fleet/src/entry/targets/health.rs
+++ b/crates/fleet/src/entry/targets/health.rs
@@ -168,10 +168,8 @@
     /// Whether this daemon has failed to reach an endpoint, and may have to relay requests.
     pub(in crate::entry) fn needs_relay(&self, now: Instant) -> bool {
         let failed = |at: Option<Instant>| at.is_some_and(|at| now.since(at) < RELAY_WISH_TTL);
-        let in_view = self.targets.values().filter(|target| target.in_view);
-        in_view
-            .into_iter()
-            .any(|target| failed(target.suspected_at) || failed(target.unreachable_at))
+        let mut in_view = self.targets.values().filter(|target| target.in_view);
+        in_view.any(|target| failed(target.suspected_at) || failed(target.unreachable_at))
     }
 
     /// Whether several endpoints in the view could not be connected to within [`CUT_TTL`], whatever
--- a/tests/platform/callers.rs
+++ b/tests/platform/callers.rs
@@ -107,6 +107,12 @@
     smol::block_on(within(RESPONSE_TIMEOUT, call)).unwrap_or(Call::Lost)
 }
 
+/// Sends a booking with this path.
+pub fn book(address: SocketAddr, id: &str, path: &str) -> Option<Reply> {
+    let headers = format!("Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {API_KEY}\r\n");
+    send(address, "POST", path, &headers, "seat")
+}
+
 /// Sends a request on a new connection and returns the response, none if it is not complete within
 /// the timeout.
 pub fn send(
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -15,8 +15,8 @@
 use tempfile::TempDir;
 
 use crate::callers::{
-    call_on_new_connection, exchange, receive, request, send, Call, Caller, Exchange, Received,
-    Reply, API_KEY, BOOK_PATH, MAX_BODY_BYTES, RESPONSE_TIMEOUT,
+    book, call_on_new_connection, exchange, receive, request, send, Call, Caller, Exchange,
+    Received, Reply, API_KEY, BOOK_PATH, MAX_BODY_BYTES, RESPONSE_TIMEOUT,
 };
 use crate::crashes::Crashes;
 use crate::cuts::Cuts;
@@ -169,8 +169,7 @@
         }
         deployment.put(7);
         let ready = deployment.poll(WAIT_TIMEOUT, |deployment| {
-            let health =
-                deployment.send(deployment.entry_address(PORTS.readiness), "GET", "/ready", "", "");
+            let health = send(deployment.entry_address(PORTS.readiness), "GET", "/ready", "", "");
             let served = |reply: Option<Reply>| reply.filter(|reply| reply.status == 200);
             served(health)?;
             served(deployment.stream(&deployment.unique_label(), None))?;
@@ -299,7 +298,7 @@
         let body = document.to_string();
         let put = self.poll(WAIT_TIMEOUT, |deployment| {
             deployment.control_addresses().into_iter().find(|control| {
-                let reply = deployment.send(*control, "POST", "/Config.Put", "", &body);
+                let reply = send(*control, "POST", "/Config.Put", "", &body);
                 reply.is_some_and(|reply| reply.status == 200)
             })
         });
@@ -309,7 +308,7 @@
     /// Version of the document in force, from the first control daemon that answers.
     pub fn read_version(&self) -> Option<u64> {
         self.control_addresses().into_iter().find_map(|control| {
-            let reply = self.send(control, "GET", "/Config.Get", "", "")?;
+            let reply = send(control, "GET", "/Config.Get", "", "")?;
             let document: serde_json::Value = serde_json::from_str(&reply.body).ok()?;
             document["version"].as_u64()
         })
@@ -327,7 +326,7 @@
             "Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {key}\r\n\
              Dotterelhoist-Deadline-Ms: 6000\r\nDotterelhoist-Model: m\r\n"
         );
-        self.send(address(ip, PORTS.callers), "POST", STREAM_PATH, &headers, "prompt")
+        send(address(ip, PORTS.callers), "POST", STREAM_PATH, &headers, "prompt")
     }
 
     /// Sends a request on the streaming route whose prompt has these segments.
@@ -338,7 +337,7 @@
              Dotterelhoist-Prompt-Prefix: {segments}\r\n"
         );
         let address = self.entry_address(PORTS.callers);
-        self.send(address, "POST", STREAM_PATH, &headers, &format!("prompt of {id}"))
+        send(address, "POST", STREAM_PATH, &headers, &format!("prompt of {id}"))
     }
 
     /// Sends a request on the streaming route and returns what arrives of the response; none if there
@@ -396,22 +395,18 @@
 
     /// Like [`Deployment::book`], at the entry daemon with this IP address.
     pub fn book_through(&self, ip: &str, id: &str) -> Option<Reply> {
-        let headers =
-            format!("Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {API_KEY}\r\n");
-        self.send(address(ip, PORTS.callers), "POST", BOOK_PATH, &headers, "seat")
+        book(address(ip, PORTS.callers), id, BOOK_PATH)
     }
 
     /// Sends a booking with this path.
     pub fn book_at(&self, id: &str, path: &str) -> Option<Reply> {
-        let headers =
-            format!("Dotterelhoist-Request-Id: {id}\r\nAuthorization: Bearer {API_KEY}\r\n");
-        self.send(self.entry_address(PORTS.callers), "POST", path, &headers, "seat")
+        book(self.entry_address(PORTS.callers), id, path)
     }
 
     /// Sends a `GET` request with the tenant's API key.
     pub fn get(&self, path: &str) -> Option<Reply> {
         let headers = format!("Authorization: Bearer {API_KEY}\r\n");
-        self.send(self.entry_address(PORTS.callers), "GET", path, &headers, "")
+        send(self.entry_address(PORTS.callers), "GET", path, &headers, "")
     }
 
     /// Sends a request on the streaming route from another thread, and waits until an engine runs
@@ -511,17 +506,6 @@
         smol::block_on(within(RESPONSE_TIMEOUT, exchange)).flatten()
     }
 
-    fn send(
-        &self,
-        address: SocketAddr,
-        method: &str,
-        path: &str,
-        headers: &str,
-        body: &str,
-    ) -> Option<Reply> {
-        send(address, method, path, headers, body)
-    }
-
     /// Kills the control daemon with this index.
     pub fn kill_control_daemon(&mut self, index: usize) {
         if let Some(mut child) = self.control_daemons[index].take() {
