--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -366,6 +366,164 @@
                 pass
 
 
+class GroupEngine(Engine):
+    """A model engine: it carries out orders, and the head of an open group runs requests."""
+
+    STALL_S = BOUNDS["stall_ms"] / 1000.0
+    FORM_S = 0.3
+
+    def __init__(self, lab, number, service, zone, fleet, domain, load_s=1.0, warm_s=0.3):
+        self.fleet, self.domain, self.load_s, self.warm_s = fleet, domain, load_s, warm_s
+        self.group, self.epoch_seen, self.fence, self.orders = None, 0, 0, 0
+        self.staged, self.last_model, self.broken_rules = [], None, []
+        fleet[:] = fleet + [self]
+        super().__init__(lab, number, service, zone, slots=26, work_s=0.2)
+
+    def details(self):
+        details = {"domain": self.domain, "staged": self.staged}
+        group = self.group
+        if group is not None:
+            details["group"] = {name: group[name] for name in ("name", "epoch", "rank", "state")}
+        return details
+
+    def checkin_body(self):
+        sequence, body = super().checkin_body()
+        body = json.loads(body)
+        body.update(self.details())
+        return sequence, json.dumps(body).encode()
+
+    def respond(self, method, target, headers, body):
+        if headers.get("dotterelhoist-expect-instance") in (None, self.id):
+            if target.startswith("/order"):
+                status = self.order(json.loads(body))
+                return answer(status, {"Content-Type": "application/json"}, b"{}")
+            if target.startswith("/report"):
+                report = {"stage": "both", "models": [], "busy": False, "sequence": self.orders,
+                          "waiting": 0, "running": self.running, "kv_used": 0, "kv_total": 1400000,
+                          "handles": 0, "born": self.born}
+                report.update(self.details())
+                return answer(200, {"Content-Type": "application/json"},
+                              json.dumps(report).encode())
+            if not target.startswith("/health"):
+                refusal = self.refusal()
+                if refusal:
+                    return answer(refusal, {"Dotterelhoist-Not-Run": 1, "Dotterelhoist-Request-Id":
+                                            headers.get("dotterelhoist-request-id", "")}, b"")
+        return super().respond(method, target, headers, body)
+
+    def refusal(self):
+        """Status with which a request is turned away, if it is."""
+        group = self.group
+        if group is None or group["rank"] != 0 or group["state"] in ("joining", "ready"):
+            return 421
+        return 503 if group["state"] in ("broken", "closing") else None
+
+    def head_of(self, group):
+        return next((other for other in self.fleet if other.id == group["members"][0]), None)
+
+    def order(self, order):
+        status = self.carry_out(order)
+        kept = {name: value for name, value in order.items() if name != "fencing_token"}
+        self.record.write("engine %s order %s -> %d" % (self.id, json.dumps(kept), status))
+        if status == 202 or status == 200:
+            threading.Thread(target=self.checkin, daemon=True).start()
+        return status
+
+    def carry_out(self, order):
+        with self.lock:
+            token = order.get("fencing_token", self.fence)
+            if token < self.fence:
+                return 412
+            self.fence = token
+            op, group = order["op"], self.group
+            if op == "stage":
+                self.staged = [order["model"]]
+                self.orders += 1
+                return 202
+            mine = group is not None and (group["name"], group["epoch"]) == (
+                order["group"], order["epoch"])
+            if op == "join":
+                return self.join(order, mine)
+            if not mine:
+                return 409
+            if op == "leave":
+                self.group = None
+                self.orders += 1
+                self.member_changed(group)
+                return 200
+            if op == "open":
+                if group["rank"] != 0 or group["state"] not in ("ready", "open"):
+                    return 409
+                if group["state"] == "open":
+                    return 200
+                threading.Timer(self.FORM_S, self.change_state, (group, "ready", "open")).start()
+            elif op == "close":
+                if group["state"] == "open":
+                    group["state"] = "closing"
+                    threading.Timer(0.3, self.change_state, (group, "closing", "ready")).start()
+                else:
+                    return 200
+            else:
+                return 400
+            self.orders += 1
+            return 202
+
+    def join(self, order, mine):
+        if order["epoch"] < self.epoch_seen:
+            return 412
+        if mine:
+            return 200 if self.group["members"] == order["members"] else 412
+        before = self.group
+        if before is not None:
+            self.check_two(before, order)
+            self.member_changed(before)
+        self.epoch_seen = order["epoch"]
+        group = {"name": order["group"], "epoch": order["epoch"], "state": "joining",
+                 "members": order["members"], "rank": order["members"].index(self.id)}
+        self.group = group
+        model = order["model"]
+        wait = self.load_s
+        if model == self.last_model:
+            wait = 0.2
+        elif model in self.staged:
+            wait = self.warm_s
+        self.last_model, self.staged = model, [model]
+        threading.Timer(wait, self.change_state, (group, "joining", "ready")).start()
+        self.orders += 1
+        return 202
+
+    def check_two(self, before, order):
+        """Rule TWO: a join of another group while the head of the engine's group is open or closing,
+        or stands still and isn't yet broken."""
+        head = self.head_of(before)
+        theirs = head.group if head is not None and head.alive else None
+        if theirs is None or (theirs["name"], theirs["epoch"]) != (before["name"], before["epoch"]):
+            return
+        if theirs["state"] in ("open", "closing"):
+            text = ("engine %s takes a join of group %s epoch %d, while the head %s of its group %s "
+                    "epoch %d is %s" % (self.id, order["group"], order["epoch"], head.id,
+                                        before["name"], before["epoch"], theirs["state"]))
+            self.broken_rules.append(text)
+            self.record.write("TWO: " + text)
+
+    def member_changed(self, group):
+        """A member has left or joined again: the head stands still, and is then broken."""
+        head = self.head_of(group)
+        if head is not None and head is not self:
+            theirs = head.group
+            if theirs is not None and theirs["name"] == group["name"]:
+                for state in ("open", "closing"):
+                    threading.Timer(self.STALL_S, head.change_state,
+                                    (theirs, state, "broken")).start()
+
+    def change_state(self, group, before, after):
+        if self.group is group and group["state"] == before and self.alive:
+            group["state"] = after
+            self.record.write("engine %s is %s in group %s epoch %d"
+                              % (self.id, after, group["name"], group["epoch"]))
+            self.checkin()
+
+
 def answer(status, headers, body):
     lines = ["HTTP/1.1 %d %s" % (status, "OK" if status == 200 else "Answer")]
     lines += ["%s: %s" % field for field in headers.items()]
@@ -376,7 +534,24 @@
 HOST, KEY, TENANT = "desk.example", "key-of-a-tenant-0001", "tenant-a"
 
 
-def document(version, routes, services, keys=(KEY,)):
+def model_service(name, models):
+    """A service of model engines; `models` are (name, size)."""
+    return {
+        "name": name, "health_path": "/health", "max_connections": 304, "protocol": "h1",
+        "tls": False, "engine": {
+            "slots": 26, "kv_capacity_tokens": 1400000, "kv_token_bytes": 35136,
+            "link_mbps": 400000.0, "stride": 5,
+            "models": [{"name": model, "size": size, "share": 1.0 / len(models), "pace": 1.0,
+                        "load_s": 1.0, "warm_s": 0.3} for model, size in models],
+            "step_ms": 6.07, "per_seq_ms": 0.241, "context_per_k": 0.00488, "read_per_s": 46000.0,
+            "pairs_per_m": 0.7, "chunk": 2048, "report_lag_ms": 200.0, "loads_per_s": 4.0,
+            "loads_at_once": 6, "delays": [], "usual": {"prompt": 1076, "answer": 116}, "keeps": 1,
+            "far_x": 2.5, "form_ms": 300.0,
+        },
+    }
+
+
+def document(version, routes, services, keys=(KEY,), more_services=()):
     """A complete config. `routes` are (name, prefix, kind, service, more)."""
     listed = []
     for name, prefix, kind, service, more in routes:
@@ -391,7 +566,7 @@
     return {
         "version": version, "routes": listed,
         "services": [{"name": name, "health_path": "/health", "max_connections": 100,
-                      "protocol": "h1", "tls": False} for name in services],
+                      "protocol": "h1", "tls": False} for name in services] + list(more_services),
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": TENANT, "api_keys": list(keys), "priority": 1}],
@@ -401,7 +576,9 @@
 class Requesters:
     """Requesters that each send one request after the other on new channels, and count answers."""
 
-    def __init__(self, lab, path, method="POST", per_s=20.0, deadline_ms=1500, threads=4):
+    def __init__(self, lab, path, method="POST", per_s=20.0, deadline_ms=1500, threads=4,
+                 headers=None):
+        self.headers = headers or {}
         self.lab, self.path, self.method, self.deadline_ms = lab, path, method, deadline_ms
         self.pause, self.answers, self.lock = threads / per_s, [], threading.Lock()
         self.going = True
@@ -416,7 +593,7 @@
             ip = random.choice(self.lab.entry_ips)
             status, headers, body = call((ip, FRONT), self.method, self.path, {
                 "Host": HOST, "Authorization": "Bearer " + KEY, "Dotterelhoist-Request-Id": request,
-                "Dotterelhoist-Deadline-Ms": self.deadline_ms,
+                "Dotterelhoist-Deadline-Ms": self.deadline_ms, **self.headers,
             }, b"x" if self.method == "POST" else b"", self.deadline_ms / 1000.0 + 0.7)
             with self.lock:
                 self.answers.append((began, request, ip, status))
