--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -376,6 +376,9 @@
         self.fleet, self.domain, self.load_s, self.warm_s = fleet, domain, load_s, warm_s
         self.group, self.epoch_seen, self.fence, self.orders = None, 0, 0, 0
         self.staged, self.last_model, self.broken_rules = [], None, []
+        # Says for an order how many seconds later it is carried out, without an answer; None for
+        # at once.
+        self.late_s = lambda order: None
         fleet[:] = fleet + [self]
         super().__init__(lab, number, service, zone, slots=26, work_s=0.2)
 
@@ -395,7 +398,15 @@
     def respond(self, method, target, headers, body):
         if headers.get("dotterelhoist-expect-instance") in (None, self.id):
             if target.startswith("/order"):
-                status = self.order(json.loads(body))
+                order = json.loads(body)
+                late_s = self.late_s(order)
+                if late_s is not None:
+                    self.record.write("engine %s leaves order %s of group %s unanswered and carries "
+                                      "it out %.1f s later"
+                                      % (self.id, order["op"], order.get("group"), late_s))
+                    threading.Timer(late_s, self.order, (order,)).start()
+                    raise EOFError("no answer")
+                status = self.order(order)
                 return answer(status, {"Content-Type": "application/json"}, b"{}")
             if target.startswith("/report"):
                 report = {"stage": "both", "models": [], "busy": False, "sequence": self.orders,
