Review case 2: bytes that belong to no request are taken for a promise

Cause: fetch in gateway/exchange.rs takes a response without an id for an answer to the request that was just sent, if it has Dotterelhoist-Not-Run or status 421.

--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -342,13 +342,19 @@
         try:
             channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = channel.makefile("rb")
+            extra = b""
             while self.alive:
                 head = read_head(stream)
                 if head is None:
                     break
                 body = read_body(stream, head[1])
                 method, target, _ = head[0].split()
-                channel.sendall(self.respond(method, target, head[1], body))
+                if extra:
+                    self.record.write("engine %s sends additional bytes" % self.id)
+                    channel.sendall(extra)
+                reply = self.respond(method, target, head[1], body)
+                channel.sendall(reply)
+                extra = self.after(reply)
         except (OSError, EOFError, ValueError):
             pass
         finally:
@@ -381,6 +387,10 @@
             "Dotterelhoist-Server-Load": load, "Content-Type": "text/plain",
         }, ("ran %s at %s\n" % (request, self.id)).encode())
 
+    def after(self, reply):
+        """Bytes that a faulty engine sends after a complete answer, late."""
+        return b""
+
     def exit(self):
         """Ends like a process: the listener and all channels close."""
         self.alive = self.beating = False
