--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -14,10 +14,13 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 DAEMON = os.path.join(ROOT, "target", "release", "dotterelhoistd")
+# Ports of the daemons, the same on each of their addresses; [`Lab`] chooses free ones.
 CONTROL, LINKS, FRONT, READY, RELAY = 20001, 20002, 20003, 20004, 20005
+METRICS = 9464
 ZONES = ["z-a", "z-b", "z-c"]
 # The bounds of the example settings on the users' pages (`fleetbench wire`).
 BOUNDS = {
@@ -108,6 +111,16 @@
         return None, {}, b""
 
 
+def is_free(ip, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+            return True
+        except OSError:
+            return False
+
+
 class Lab:
     """Three control daemons and some entry daemons, each a separate process with a settings file."""
 
@@ -121,7 +134,21 @@
         self.entry_ips = ["%s.%d" % (net, 31 + n) for n in range(entries)]
         self.engine_ips = ["%s.%d" % (net, 101 + n) for n in range(60)]
         self.processes = {}
-        self.first_start = True
+        self.choose_ports()
+
+    def choose_ports(self):
+        """Chooses five ports that are free on all addresses, below the ephemeral ones."""
+        global CONTROL, LINKS, FRONT, READY, RELAY
+        ips = self.control_ips + self.entry_ips
+        for _ in range(50):
+            first = random.randint(20000, 32000)
+            if all(is_free(ip, port) for ip in ips for port in range(first, first + 5)):
+                CONTROL, LINKS, FRONT, READY, RELAY = range(first, first + 5)
+                break
+        else:
+            raise CannotRun("no free ports")
+        if not all(is_free(ip, METRICS) for ip in ips):
+            raise CannotRun("the port for metrics is in use")
 
     def settings(self, ip, zone, bootstrap, control, extra=None):
         fields = {
@@ -620,6 +647,12 @@
 def main(folder, case):
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     lab = None
+
+    def stop(number, frame):
+        raise CannotRun("the case took too long")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         lab = Lab(folder)
         broken = case(lab)
@@ -629,6 +662,9 @@
     except CannotRun as reason:
         print("can't run:", reason)
         return 2
+    except Exception:
+        traceback.print_exc()
+        return 2
     finally:
         if lab is not None:
             lab.close()
