Control daemons log the voters of their log

Line 200 names the replica and the number of entries, not the voters.

Change: line 208 with the voters at the start and whenever they change.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -204,6 +204,8 @@
     limits: Limits,
     /// All other control daemons that this one knows of and connects to.
     control_daemons: BTreeSet<Name>,
+    /// Voters of the log as last logged.
+    logged_voters: Vec<Voter>,
     reachability: Reachability,
     /// Documents that were proposed as leader but not yet applied, by log index.
     pending_writes: BTreeMap<u64, PendingWrite>,
@@ -267,6 +269,7 @@
             validated: None,
             endpoints: endpoints::Table::default(),
             control_daemons: BTreeSet::new(),
+            logged_voters: Vec::new(),
             reachability: Reachability::new(setup.zone.clone()),
             pending_writes: BTreeMap::new(),
             pending_calls: Vec::new(),
--- a/crates/fleet/src/control/applying.rs
+++ b/crates/fleet/src/control/applying.rs
@@ -37,6 +37,18 @@
         if self.state_machine.version() > self.activated {
             self.activate_document(now, effects);
         }
+        if self.logged_voters != self.replica.voters() {
+            self.log_voters(effects);
+        }
+    }
+
+    /// Logs the voters of the log.
+    fn log_voters(&mut self, effects: &mut Vec<Effect>) {
+        self.logged_voters = self.replica.voters().to_vec();
+        let replicas: Vec<&str> =
+            self.logged_voters.iter().map(|voter| voter.replica.as_str()).collect();
+        let detail = format!("voters={}", replicas.join(","));
+        effects.push(Effect::Log(journal::Event::new(208, "voters", &*self.setup.daemon, detail)));
     }
 
     /// Turns one output of the replica into effects, or applies it to the replicated state.
