--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -21,8 +21,12 @@
 //!   its disk returns under a new identity as a learner and becomes a voter only through committed
 //!   changes of the voter list, so it never repeats votes and acknowledgements given before the
 //!   loss.
+//! * **Stored voter lists**: a replica takes its voters from what it has stored, never from the
+//!   settings, which may change. The initial voters are stored before the first start, and the first
+//!   leader writes their list to the log, from which all others learn it. A replica that knows no
+//!   list is no voter.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -107,6 +111,9 @@
 /// Persisted state of a replica.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Stored {
+    /// Voters that the log was created with; empty in a replica that is not one of them. They hold
+    /// until the snapshot or an entry has a voter list.
+    pub initial_voters: Vec<Voter>,
     /// Last persisted term.
     pub term: u64,
     /// Replica that this replica voted for in that term.
@@ -210,8 +217,10 @@
     role: Role,
     /// Leader of `term`, if known.
     leader: Option<Identity>,
-    /// Voter list of a new log. The leader also admits learners from the daemons in it.
-    initial_voters: Vec<Voter>,
+    /// Daemons besides the voters that this replica asks to let it join.
+    contacts: BTreeSet<Name>,
+    /// Daemons besides the voters from which this replica, as leader, admits learners.
+    hosts: BTreeSet<Name>,
     log: Log,
     /// Highest index known to be committed.
     commit: u64,
@@ -229,8 +238,8 @@
     /// When this replica starts the next election, unless a leader's message or a granted vote
     /// postpones it.
     election_deadline: Instant,
-    /// When a leader next sends heartbeats, and when a replica that is no voter or has lost its
-    /// leader next sends [`Payload::Join`].
+    /// When a leader next sends heartbeats, and when a replica that is new, is no voter or has lost
+    /// its leader next sends [`Payload::Join`].
     next_heartbeat: Instant,
     /// Sequence number of the newest write.
     last_sequence: u64,
@@ -243,8 +252,8 @@
     pending_sends: VecDeque<(u64, Name, Payload)>,
     /// Commit index in the newest append message of a leader; `u64::MAX` before the first.
     leader_commit: u64,
-    /// Limit set by [`Replica::set_max_voters`]. While it is unset, daemons outside the initial and
-    /// current voter lists are not admitted.
+    /// Limit set by [`Replica::set_max_voters`]. While it is unset, only daemons of voters and
+    /// `hosts` are admitted.
     max_voters: Option<usize>,
     /// When this replica was last elected.
     leader_since: Instant,
@@ -261,11 +270,9 @@
 }
 
 impl Replica {
-    /// Opens a replica from its stored state. `initial_voters` is the voter list of a new log,
-    /// which holds until the log contains a list of its own.
+    /// Opens a replica from its stored state.
     pub fn open(
         identity: Identity,
-        initial_voters: Vec<Voter>,
         timing: Timing,
         stored: Stored,
         now: Instant,
@@ -274,7 +281,7 @@
         let snapshot = stored.snapshot.clone();
         let stagger = stagger(&identity.replica, timing.stagger);
         let immediate_election_until = if stored.led { now + timing.election } else { now };
-        let log = Log::open(stored.snapshot, stored.entries, initial_voters.clone());
+        let log = Log::open(stored.snapshot, stored.entries, stored.initial_voters);
         if snapshot.index > 0 {
             outputs.push(Output::Restore(snapshot.clone()));
         }
@@ -288,7 +295,8 @@
             vote: stored.vote,
             role: Role::Follower,
             leader: None,
-            initial_voters,
+            contacts: BTreeSet::new(),
+            hosts: BTreeSet::new(),
             commit: snapshot.index,
             applied: snapshot.index,
             log,
@@ -309,9 +317,20 @@
         }
     }
 
-    /// From now on also admits daemons outside the initial and current voter lists, as long as
-    /// there are fewer than `voters` voters, or in place of voters that have not answered for
-    /// [`REPLACE_AFTER`].
+    /// Adds a daemon that may know the leader, in addition to the voters: this replica asks it to
+    /// let it join.
+    pub fn add_contact(&mut self, daemon: Name) {
+        self.contacts.insert(daemon);
+    }
+
+    /// Adds a daemon that may host a replica, in addition to the voters: as leader, this replica
+    /// admits learners from it.
+    pub fn add_host(&mut self, daemon: Name) {
+        self.hosts.insert(daemon);
+    }
+
+    /// From now on admits any daemon, as long as there are fewer than `voters` voters, or in place
+    /// of voters that have not answered for [`REPLACE_AFTER`].
     pub fn set_max_voters(&mut self, voters: usize) {
         self.max_voters = Some(voters);
     }
@@ -440,8 +459,10 @@
             return;
         }
         let leader_missing = now.since(self.last_contact) > self.timing.election * 3;
-        if (!self.is_voter() || leader_missing) && now >= self.next_heartbeat {
-            self.next_heartbeat = now + self.timing.election;
+        let is_new = self.log.last_index() == 0;
+        if (!self.is_voter() || leader_missing || is_new) && now >= self.next_heartbeat {
+            let interval = if is_new { self.timing.heartbeat } else { self.timing.election };
+            self.next_heartbeat = now + interval;
             self.send_join(outputs);
         }
         if now < self.election_deadline {
--- a/crates/core/src/replica/election.rs
+++ b/crates/core/src/replica/election.rs
@@ -1,17 +1,21 @@
 //! Elections: requesting and granting votes, and becoming leader.
 
-use super::message::{Entry, Payload, VoteReply, VoteRequest};
+use std::collections::BTreeSet;
+
+use super::message::{Entry, Payload, VoteReply, VoteRequest, Voter};
 use super::progress::Progress;
 use super::{quorum, Instant, Name, Output, Replica, Role};
 
 impl Replica {
-    /// Asks the daemons of all other voters to replicate the log to this replica. Only the leader
-    /// acts on the request.
+    /// Asks the daemons of all voters and all contacts to replicate the log to this replica. The
+    /// leader acts on the request, and the others pass it on. A new log asks as well, also as an
+    /// initial voter: a leader that answers has an older log, whose voters hold.
     pub(super) fn send_join(&mut self, outputs: &mut Vec<Output>) {
-        for peer in self.peers() {
-            if *peer.daemon != *self.identity.daemon {
-                outputs.push(Output::Send(peer.daemon.into(), Payload::Join(self.as_voter())));
-            }
+        let voters = self.log.voters().iter().map(|voter| voter.daemon.as_str().into());
+        let mut daemons: BTreeSet<Name> = self.contacts.iter().cloned().chain(voters).collect();
+        daemons.remove(&self.identity.daemon);
+        for daemon in daemons {
+            outputs.push(Output::Send(daemon, Payload::Join(self.as_voter())));
         }
     }
 
@@ -26,6 +30,7 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
             last_led_term: self.last_led_term,
+            initial_voters: self.log.unwritten_voters().to_vec(),
         };
         for peer in self.peers() {
             let payload = Payload::VoteRequest(request.clone());
@@ -47,6 +52,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let Some(candidate) = request.candidate else { return };
+        self.learn_initial_voters(request.initial_voters);
         let is_leader = self.role == Role::Leader && self.leads(now);
         let protects_lease = now.since(self.last_contact) < self.timing.election
             && request.last_led_term < self.last_answered_term;
@@ -82,6 +88,16 @@
         self.send_durable(candidate.daemon.into(), Payload::VoteReply(reply), outputs);
     }
 
+    /// Takes over the initial voters from a candidate that knows them, if this replica is one of them
+    /// and knows no voters.
+    fn learn_initial_voters(&mut self, voters: Vec<Voter>) {
+        let own = &self.identity.replica;
+        let is_listed = voters.iter().any(|voter| *voter.replica == **own);
+        if is_listed && self.log.voters().is_empty() {
+            self.log.set_initial_voters(voters);
+        }
+    }
+
     /// Counts a granted vote, or follows the term of a refusal if that is newer.
     pub(super) fn receive_vote_reply(
         &mut self,
@@ -142,8 +158,9 @@
         self.count_votes(now, outputs);
     }
 
-    /// Becomes leader of the current term and appends an empty entry. Committing that entry commits
-    /// all entries before it.
+    /// Becomes leader of the current term and appends an entry without a command. Committing that
+    /// entry commits all entries before it. It holds the voter list if the log has none yet, so that
+    /// from then on everyone who has the log knows its voters.
     fn become_leader(&mut self, now: Instant, outputs: &mut Vec<Output>) {
         self.role = Role::Leader;
         self.leader = Some(self.identity.clone());
@@ -156,6 +173,7 @@
             let progress = Progress::new(peer.daemon.into(), self.log.last_index() + 1);
             self.progress.insert(peer.replica.into(), progress);
         }
-        self.append(now, Entry::default(), outputs);
+        let entry = Entry::voters(self.log.unwritten_voters().to_vec());
+        self.append(now, entry, outputs);
     }
 }
--- a/crates/core/src/replica/log.rs
+++ b/crates/core/src/replica/log.rs
@@ -9,8 +9,8 @@
 pub struct Log {
     snapshot: Snapshot,
     entries: VecDeque<Entry>,
-    /// The voter list of the snapshot (of a new log, the initial voters), then those that entries
-    /// set, oldest first.
+    /// The voter list of the snapshot (of a new log, the initial voters, empty if they are not
+    /// known), then those that entries set, oldest first.
     voters: Vec<VoterList>,
     /// Highest index up to which all entries are synced.
     durable_index: u64,
@@ -64,6 +64,21 @@
         self.voters.last().map_or(0, |list| list.index)
     }
 
+    /// The initial voters, as long as neither the snapshot nor an entry has a voter list; until then
+    /// only they know who votes.
+    pub(super) fn unwritten_voters(&self) -> &[Voter] {
+        let is_written = self.voters.len() > 1 || !self.snapshot.voters.is_empty();
+        if is_written {
+            return &[];
+        }
+        self.voters()
+    }
+
+    /// Sets the initial voters of a log that knows no voters.
+    pub(super) fn set_initial_voters(&mut self, voters: Vec<Voter>) {
+        self.voters = vec![VoterList { index: self.snapshot.index, voters }];
+    }
+
     pub(super) fn last_index(&self) -> u64 {
         self.snapshot.index + self.entries.len() as u64
     }
--- a/crates/core/src/replica/message.rs
+++ b/crates/core/src/replica/message.rs
@@ -4,6 +4,7 @@
 //! disk.
 
 use prost::{Message, Oneof};
+use serde::{Deserialize, Serialize};
 
 /// One entry of the log.
 #[derive(Clone, PartialEq, Message)]
@@ -14,11 +15,10 @@
     /// Position in the log, starting at 1.
     #[prost(uint64, tag = "2")]
     pub index: u64,
-    /// Encoded command; empty in the first entry of a term and in entries that change the voter
-    /// list.
+    /// Encoded command; empty in the first entry of a term and in entries with a voter list.
     #[prost(bytes = "vec", tag = "3")]
     pub command: Vec<u8>,
-    /// New voter list if the entry changes it, else empty.
+    /// Voter list from this entry on; empty if the entry doesn't set it.
     #[prost(message, repeated, tag = "4")]
     pub voters: Vec<Voter>,
 }
@@ -34,7 +34,7 @@
 }
 
 /// A member of the voter list.
-#[derive(Clone, PartialEq, Eq, Hash, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message, Serialize, Deserialize)]
 pub struct Voter {
     /// Identity of the replica's disk.
     #[prost(string, tag = "1")]
@@ -70,6 +70,10 @@
     /// lease of that term.
     #[prost(uint64, tag = "6")]
     pub last_led_term: u64,
+    /// Initial voters of the log, if it has no voter list yet; for initial voters whose files were
+    /// written by a build that did not store them.
+    #[prost(message, repeated, tag = "7")]
+    pub initial_voters: Vec<Voter>,
 }
 
 /// Answer to a [`VoteRequest`].
--- a/crates/core/src/replica/voters.rs
+++ b/crates/core/src/replica/voters.rs
@@ -6,17 +6,17 @@
 use super::{quorum, Instant, Name, Output, Replica, Role, REPLACE_AFTER};
 
 impl Replica {
-    /// Starts to replicate to a daemon that asks for it, as a learner. Daemons of current and
-    /// initial voters may join, others only after [`Replica::set_max_voters`].
+    /// Starts to replicate to a daemon that asks for it, as a learner. Daemons of voters and those
+    /// of [`Replica::add_host`] may join, others only after [`Replica::set_max_voters`].
     pub(super) fn receive_join(&mut self, now: Instant, voter: Voter, outputs: &mut Vec<Output>) {
         if !self.leads(now) {
             self.forward_join(now, voter, outputs);
             return;
         }
-        let known_voters = self.initial_voters.iter().chain(self.log.voters());
-        let listed = known_voters.into_iter().any(|known| known.daemon == voter.daemon);
+        let is_known = self.hosts.contains(voter.daemon.as_str())
+            || self.log.voters().iter().any(|known| known.daemon == voter.daemon);
         let replica: Name = voter.replica.as_str().into();
-        let may_join = listed || self.max_voters.is_some();
+        let may_join = is_known || self.max_voters.is_some();
         if self.progress.contains_key(&replica) || !may_join {
             return;
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -24,7 +24,6 @@
 use crate::message::Summary;
 use crate::placement::Manager;
 use crate::policy::{Policy, STOP_NOTICE, USAGE_RECORDING_TIMEOUT};
-use crate::replica::message::Voter;
 use crate::replica::{Identity, Stored, Timing};
 use crate::retry::Budget;
 use crate::route::{self, Strategy};
@@ -61,8 +60,9 @@
     pub name: Name,
     /// Kind of data that it holds.
     pub content: Content,
-    /// Voters that the log is created with; later voters come from the log itself.
-    pub initial_voters: Vec<Voter>,
+    /// Daemons that are to host a replica according to the settings. Who votes is known to the
+    /// replicas alone.
+    pub hosts: Vec<Name>,
 }
 
 /// Settings of another daemon.
@@ -365,18 +365,16 @@
         self.log_holding(&Content::Placement(self.setup.zone.clone()))
     }
 
-    /// Hosts of a zone, which keep the table of its endpoints: the initial voters of its placement
-    /// log that are in the zone, or all of its initial voters if none is in the zone.
+    /// Hosts of a zone, which keep the table of its endpoints: the hosts of its placement log that
+    /// are in the zone, or all of them if none is in the zone.
     fn hosts_of_zone(&self, zone: &Name) -> Vec<Name> {
         let Some(log) = self.log_holding(&Content::Placement(zone.clone())) else {
             return Vec::new();
         };
-        let all: Vec<Name> =
-            log.initial_voters.iter().map(|voter| voter.daemon.as_str().into()).collect();
-        let inside: Vec<Name> =
-            all.iter().filter(|daemon| self.zone_of(daemon) == Some(zone)).cloned().collect();
+        let is_inside = |daemon: &&Name| self.zone_of(daemon) == Some(zone);
+        let inside: Vec<Name> = log.hosts.iter().filter(is_inside).cloned().collect();
         if inside.is_empty() {
-            return all;
+            return log.hosts.clone();
         }
         inside
     }
--- a/crates/core/src/state/logs.rs
+++ b/crates/core/src/state/logs.rs
@@ -137,14 +137,14 @@
             let setup = self.setup.logs.iter().find(|log| log.name == stored_replica.log);
             let Some(setup) = setup.cloned() else { continue };
             let mut outputs = Vec::new();
-            let replica = Replica::open(
-                stored_replica.identity,
-                setup.initial_voters,
-                self.setup.timing,
-                stored_replica.stored,
-                now,
-                &mut outputs,
-            );
+            let StoredReplica { identity, stored, .. } = stored_replica;
+            let mut replica = Replica::open(identity, self.setup.timing, stored, now, &mut outputs);
+            for peer in &self.setup.peers {
+                replica.add_contact(peer.daemon.clone());
+            }
+            for host in setup.hosts {
+                replica.add_host(host);
+            }
             let hosted = HostedLog {
                 replica,
                 state_machine: StateMachine::default(),
--- a/crates/core/src/state/logs/fetching.rs
+++ b/crates/core/src/state/logs/fetching.rs
@@ -24,12 +24,10 @@
         }
         self.schedule.fetch = now + FETCH_INTERVAL;
         let Some(log) = self.log_holding(&Content::Configuration) else { return };
-        let hosts: Vec<Name> =
-            log.initial_voters.iter().map(|v| v.daemon.as_str().into()).collect();
         let in_zone = |host: &&Name| self.zone_of(host) == Some(&self.setup.zone);
-        let mut candidates: Vec<Name> = hosts.iter().filter(in_zone).cloned().collect();
+        let mut candidates: Vec<Name> = log.hosts.iter().filter(in_zone).cloned().collect();
         if candidates.is_empty() {
-            candidates = hosts;
+            candidates = log.hosts.clone();
         }
         candidates.retain(|host| self.is_linked(host, now));
         let Some(fetched) = &mut self.fetched else { return };
--- a/crates/core/src/state/logs/proposing.rs
+++ b/crates/core/src/state/logs/proposing.rs
@@ -67,17 +67,17 @@
     }
 
     /// Daemon to forward a command to: the leader if this daemon hosts a replica and knows it,
-    /// otherwise a linked initial voter, preferably one in this zone.
+    /// otherwise a linked host, preferably one in this zone.
     pub(super) fn next_hop(&self, now: Instant, log: &Name) -> Option<Name> {
         if let Some(hosted) = self.logs.get(log) {
             let leader = hosted.replica.leader().filter(|leader| self.is_linked(leader, now));
             return leader.filter(|leader| **leader != self.setup.daemon).cloned();
         }
         let setup = self.setup.logs.iter().find(|setup| setup.name == *log)?;
-        let hosts = setup.initial_voters.iter().map(|voter| Name::from(voter.daemon.as_str()));
-        let linked: Vec<Name> = hosts.filter(|host| self.is_linked(host, now)).collect();
-        let in_zone = |host: &&Name| self.zone_of(host) == Some(&self.setup.zone);
-        linked.iter().find(in_zone).or(linked.first()).cloned()
+        let mut linked = setup.hosts.iter().filter(|host| self.is_linked(host, now)).peekable();
+        let first = linked.peek().copied();
+        let in_zone = linked.find(|host| self.zone_of(host) == Some(&self.setup.zone));
+        in_zone.or(first).cloned()
     }
 
     /// Whether a command for the log can be appended here or forwarded.
--- a/crates/core/tests/replica/cluster.rs
+++ b/crates/core/tests/replica/cluster.rs
@@ -132,7 +132,10 @@
             cluster.nodes.push(Node {
                 replica: None,
                 epoch: 0,
-                disk: Stored::default(),
+                disk: Stored {
+                    initial_voters: cluster.initial_voters.clone(),
+                    ..Stored::default()
+                },
                 disk_generation: 0,
                 unsynced: Vec::new(),
                 suspended_until: 0,
@@ -177,9 +180,11 @@
         let mut outputs = Vec::new();
         let stored = node.disk.clone();
         let now = Instant::from_millis(self.now);
-        let initial_voters = self.initial_voters.clone();
-        node.replica =
-            Some(Replica::open(identity, initial_voters, timing(), stored, now, &mut outputs));
+        let mut replica = Replica::open(identity, timing(), stored, now, &mut outputs);
+        for voter in &self.initial_voters {
+            replica.add_contact(voter.daemon.as_str().into());
+        }
+        node.replica = Some(replica);
         self.execute_outputs(id, outputs);
     }
 
--- a/crates/core/tests/replica/main.rs
+++ b/crates/core/tests/replica/main.rs
@@ -313,14 +313,8 @@
         Identity { replica: "0#0".into(), daemon: "0".into(), weight: 1, electable: true };
     let mut outputs = Vec::new();
     let mut now = Instant::default();
-    let mut replica = Replica::open(
-        identity,
-        voters(&[1]),
-        Timing::default(),
-        Stored::default(),
-        now,
-        &mut outputs,
-    );
+    let stored = Stored { initial_voters: voters(&[1]), ..Stored::default() };
+    let mut replica = Replica::open(identity, Timing::default(), stored, now, &mut outputs);
     let newest = |outputs: &mut Vec<Output>| {
         let sequences = outputs.drain(..).filter_map(|output| match output {
             Output::Persist(sequence, _) => Some(sequence),
--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -226,32 +226,21 @@
         let peers = self.nodes.iter().filter(|peer| peer.name != node.name);
         let peer =
             |peer: &Node| Peer { daemon: peer.name.as_str().into(), zone: ZONES[peer.zone].into() };
-        let voter =
-            |name: String, weight| Voter { replica: format!("{name}#0"), daemon: name, weight };
-        let first_daemons = || ZONES.iter().map(|zone| voter(format!("{zone}-0"), 1)).collect();
+        let first_daemons = || ZONES.iter().map(|zone| first_daemon(zone)).collect();
         let mut logs = vec![
             LogSetup {
                 name: "config".into(),
                 content: Content::Configuration,
-                initial_voters: first_daemons(),
-            },
-            LogSetup {
-                name: "claims".into(),
-                content: Content::Claims,
-                initial_voters: first_daemons(),
+                hosts: first_daemons(),
             },
+            LogSetup { name: "claims".into(), content: Content::Claims, hosts: first_daemons() },
         ];
         for zone in ZONES {
-            let mut initial_voters =
-                vec![voter(format!("{zone}-0"), 2), voter(format!("{zone}-1"), 2)];
+            let mut hosts = vec![first_daemon(zone), format!("{zone}-1").into()];
             let others = ZONES.iter().filter(|other| **other != zone);
-            initial_voters.extend(others.map(|other| voter(format!("{other}-0"), 1)));
+            hosts.extend(others.map(|other| first_daemon(other)));
             let content = Content::Placement(zone.into());
-            logs.push(LogSetup {
-                name: format!("placement-{zone}").into(),
-                content,
-                initial_voters,
-            });
+            logs.push(LogSetup { name: format!("placement-{zone}").into(), content, hosts });
         }
         Setup {
             daemon: node.name.as_str().into(),
@@ -276,7 +265,8 @@
         let own = setup.daemon.clone();
         let mut replicas = Vec::new();
         for log in &setup.logs {
-            let Some(voter) = log.initial_voters.iter().find(|voter| *voter.daemon == *own) else {
+            let voters = initial_voters(log);
+            let Some(voter) = voters.iter().find(|voter| *voter.daemon == *own).cloned() else {
                 continue;
             };
             let zone = match &log.content {
@@ -289,7 +279,9 @@
                 weight: voter.weight,
                 electable: zone.is_none_or(|zone| zone == setup.zone),
             };
-            let stored = self.nodes[at].disks.entry(log.name.clone()).or_default().clone();
+            let first_disk = || Stored { initial_voters: voters, ..Stored::default() };
+            let stored =
+                self.nodes[at].disks.entry(log.name.clone()).or_insert_with(first_disk).clone();
             replicas.push(StoredReplica { log: log.name.clone(), identity, stored });
         }
         let mut effects = Vec::new();
@@ -908,3 +900,21 @@
         }
     }
 }
+
+/// Name of the daemon of a zone that hosts replicas of the logs of all zones.
+fn first_daemon(zone: &str) -> Name {
+    format!("{zone}-0").into()
+}
+
+/// Initial voters of a log. Those of a placement log have two votes each in its own zone.
+fn initial_voters(log: &LogSetup) -> Vec<Voter> {
+    let voter = |host: &Name| {
+        let in_zone = |zone: &Name| host.starts_with(&**zone);
+        let weight = match &log.content {
+            Content::Placement(zone) if in_zone(zone) => 2,
+            _ => 1,
+        };
+        Voter { replica: format!("{host}#0"), daemon: host.to_string(), weight }
+    };
+    log.hosts.iter().map(voter).collect()
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -14,7 +14,7 @@
 use dotterelhoist_core::route::Strategy;
 use dotterelhoist_core::state::{Content, LogSetup, Peer, Setup, State, StoredReplica};
 use dotterelhoist_settings::{Log, LogContent, Settings};
-use dotterelhoist_store::Files;
+use dotterelhoist_store::{identity, Files};
 use smol::channel::{bounded, unbounded, Receiver};
 use smol::net::TcpListener;
 
@@ -123,16 +123,24 @@
         Ok(Daemon { handle, stopped })
     }
 
-    /// Opens the files of a log; `None` if this daemon is not a voter of it or has no data folder.
+    /// Opens the files of a log; `None` if this daemon has no data folder, or neither is a voter
+    /// according to the settings nor has a replica. A replica that the settings no longer name may
+    /// still be a voter.
     fn open_files(&self, log: &Log) -> Result<Option<Files>, Error> {
         let settings = &self.settings;
+        let Some(folder) = settings.data_folder.as_ref() else { return Ok(None) };
+        let path = folder.join(&*log.name);
         let is_voter = log.voters.iter().any(|voter| voter.daemon == settings.daemon);
-        let Some(folder) = settings.data_folder.as_ref().filter(|_| is_voter) else {
+        if !is_voter && !identity::is_stored(&path) {
             return Ok(None);
+        }
+        let initial_voters: Vec<Voter> = log.voters.iter().map(initial_voter).collect();
+        let setup = identity::Setup {
+            daemon: &settings.daemon,
+            bootstrap: self.bootstrap,
+            initial_voters: &initial_voters,
         };
-        let path = folder.join(&*log.name);
-        let files = Files::open(&path, &settings.daemon, self.bootstrap, random_u64());
-        files.map(Some).map_err(Error::Files)
+        Files::open(&path, setup, random_u64()).map(Some).map_err(Error::Files)
     }
 
     /// Identity and stored state of this daemon's replica of a log. A replica of another zone's
@@ -258,10 +266,18 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen { address, error })
 }
 
-/// Setup of a log from the settings, whose voters become its initial voters. Replicas of initial
-/// voters have the number 0, which follows `#` in their names.
+/// Initial voter that a voter of the settings becomes if its log is new. Replicas of initial voters
+/// have the number 0, which follows `#` in their names.
+fn initial_voter(voter: &dotterelhoist_settings::Voter) -> Voter {
+    Voter {
+        replica: format!("{}#0", voter.daemon),
+        daemon: voter.daemon.to_string(),
+        weight: voter.weight,
+    }
+}
+
+/// Setup of a log from the settings.
 fn log_setup(log: &Log) -> LogSetup {
-    let voters = log.voters.iter();
     LogSetup {
         name: log.name.clone(),
         content: match (log.holds, &log.zone) {
@@ -269,12 +285,6 @@
             (LogContent::Claims, _) => Content::Claims,
             _ => Content::Configuration,
         },
-        initial_voters: voters
-            .map(|voter| Voter {
-                replica: format!("{}#0", voter.daemon),
-                daemon: voter.daemon.to_string(),
-                weight: voter.weight,
-            })
-            .collect(),
+        hosts: log.voters.iter().map(|voter| voter.daemon.clone()).collect(),
     }
 }
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -76,8 +76,6 @@
     pub daemon: Name,
     /// Availability zone of this daemon.
     pub zone: Name,
-    /// Initial voters of a new log; ignored if the log already exists.
-    pub initial_voters: Vec<Voter>,
     /// Control daemons to connect to at the start.
     pub seeds: Vec<Name>,
     /// Number of voters that the log should have.
@@ -204,8 +202,8 @@
     limits: Limits,
     /// All other control daemons that this one knows of and connects to.
     control_daemons: BTreeSet<Name>,
-    /// Voters of the log as last logged.
-    logged_voters: Vec<Voter>,
+    /// Voters of the log to which this daemon connects, as last logged.
+    known_voters: Vec<Voter>,
     reachability: Reachability,
     /// Documents that were proposed as leader but not yet applied, by log index.
     pending_writes: BTreeMap<u64, PendingWrite>,
@@ -250,10 +248,7 @@
         effects: &mut Vec<Effect>,
     ) -> State<Decoder> {
         let mut outputs = Vec::new();
-        let initial_voters = setup.initial_voters.clone();
-        let timing = TIMING;
-        let mut replica =
-            Replica::open(identity, initial_voters, timing, stored, now, &mut outputs);
+        let mut replica = Replica::open(identity, TIMING, stored, now, &mut outputs);
         replica.set_max_voters(setup.voter_count);
         let mut state = State {
             planner: Planner::new(setup.times),
@@ -269,7 +264,7 @@
             validated: None,
             endpoints: endpoints::Table::default(),
             control_daemons: BTreeSet::new(),
-            logged_voters: Vec::new(),
+            known_voters: Vec::new(),
             reachability: Reachability::new(setup.zone.clone()),
             pending_writes: BTreeMap::new(),
             pending_calls: Vec::new(),
@@ -510,11 +505,13 @@
         }
     }
 
-    /// Adds a control daemon and connects to it, unless it is this daemon or already known.
+    /// Adds a control daemon, which may host a replica, and connects to it, unless it is this daemon
+    /// or already known.
     fn add_control_daemon(&mut self, daemon: &Name, effects: &mut Vec<Effect>) {
         if *daemon == self.setup.daemon || !self.control_daemons.insert(daemon.clone()) {
             return;
         }
+        self.replica.add_contact(daemon.clone());
         effects.push(Effect::Dial(daemon.clone()));
     }
 }
--- a/crates/fleet/src/control/applying.rs
+++ b/crates/fleet/src/control/applying.rs
@@ -37,18 +37,21 @@
         if self.state_machine.version() > self.activated {
             self.activate_document(now, effects);
         }
-        if self.logged_voters != self.replica.voters() {
-            self.log_voters(effects);
+        if self.known_voters != self.replica.voters() {
+            self.update_voters(effects);
         }
     }
 
-    /// Logs the voters of the log.
-    fn log_voters(&mut self, effects: &mut Vec<Effect>) {
-        self.logged_voters = self.replica.voters().to_vec();
-        let replicas: Vec<&str> =
-            self.logged_voters.iter().map(|voter| voter.replica.as_str()).collect();
+    /// Connects to the voters of the log, and logs them.
+    fn update_voters(&mut self, effects: &mut Vec<Effect>) {
+        let voters = self.replica.voters().to_vec();
+        for voter in &voters {
+            self.add_control_daemon(&voter.daemon.as_str().into(), effects);
+        }
+        let replicas: Vec<&str> = voters.iter().map(|voter| voter.replica.as_str()).collect();
         let detail = format!("voters={}", replicas.join(","));
         effects.push(Effect::Log(journal::Event::new(208, "voters", &*self.setup.daemon, detail)));
+        self.known_voters = voters;
     }
 
     /// Turns one output of the replica into effects, or applies it to the replicated state.
@@ -66,12 +69,8 @@
         }
     }
 
-    /// Applies a committed log entry, connects to its voters, and answers the call that proposed
-    /// it.
+    /// Applies a committed log entry, and answers the call that proposed it.
     fn apply_entry(&mut self, entry: Entry, effects: &mut Vec<Effect>) {
-        for voter in &entry.voters {
-            self.add_control_daemon(&voter.daemon.as_str().into(), effects);
-        }
         self.log_bytes += entry.command.len();
         let command = Command::decode(entry.command.as_slice()).unwrap_or_default();
         if let Some(change) = command.change {
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -258,14 +258,18 @@
         let setup = Setup {
             daemon: name.clone(),
             zone: "z".into(),
-            initial_voters: daemon_names().iter().map(initial_voter).collect(),
             seeds: daemon_names(),
             voter_count: 3,
             times: Times { heartbeat_interval: HEARTBEAT_INTERVAL, stall_timeout: STALL_TIMEOUT },
         };
         let identity =
             Identity { replica: replica.into(), daemon: name.clone(), weight: 1, electable: true };
-        let stored = self.disks.entry(name.clone()).or_default().clone();
+        let is_initial_voter = replica == initial_voter(name).replica;
+        let disk = self.disks.entry(name.clone()).or_insert_with(|| match is_initial_voter {
+            true => first_disk(),
+            false => Stored::default(),
+        });
+        let stored = disk.clone();
         let mut effects = Vec::new();
         let reader = VersionReader { shape: self.shape, reads: self.reads.clone() };
         let state = State::open(setup, reader, identity, stored, self.now, &mut effects);
@@ -786,6 +790,12 @@
     ["10.0.0.1", "10.0.0.2", "10.0.0.3"].iter().map(|name| (*name).into()).collect()
 }
 
+/// Disk of an initial voter at the first start.
+fn first_disk() -> Stored {
+    let initial_voters = daemon_names().iter().map(initial_voter).collect();
+    Stored { initial_voters, ..Stored::default() }
+}
+
 fn initial_voter(name: &Name) -> Voter {
     Voter { replica: format!("{name}#0"), daemon: name.to_string(), weight: 1 }
 }
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -43,6 +43,8 @@
 const CRASHING_SEGMENT: u64 = 2;
 /// Number of further prompt segments, of which each other request has one.
 const SOUND_SEGMENTS: u64 = 20;
+/// Control daemons that create the log.
+const INITIAL_VOTERS: usize = 3;
 const SERVICE: &str = "desk";
 const HOST: &str = "families.example";
 
@@ -336,7 +338,7 @@
     fn open_control(&mut self, index: usize, disk: u32) {
         let name = control_name(index);
         let names: Vec<Name> = (0..self.shape.control_daemons).map(control_name).collect();
-        let initial_voters = names.iter().take(3).map(|name| Voter {
+        let initial_voters = names.iter().take(INITIAL_VOTERS).map(|name| Voter {
             replica: format!("{name}#0"),
             daemon: name.to_string(),
             weight: 1,
@@ -345,22 +347,19 @@
         let setup = control::Setup {
             daemon: name.clone(),
             zone: zone(index),
-            initial_voters: initial_voters.collect(),
             seeds: names.clone(),
             voter_count: 5,
             times: Times { heartbeat_interval: second, stall_timeout: second * 4 },
         };
         let replica = format!("{name}#{disk}").into();
         let identity = Identity { replica, daemon: name.clone(), weight: 1, electable: true };
+        let mut stored = Stored::default();
+        if disk == 0 && index < INITIAL_VOTERS {
+            stored.initial_voters = initial_voters.collect();
+        }
         let mut effects = Vec::new();
-        let state = control::State::open(
-            setup,
-            LineReader,
-            identity,
-            Stored::default(),
-            self.now,
-            &mut effects,
-        );
+        let state =
+            control::State::open(setup, LineReader, identity, stored, self.now, &mut effects);
         self.control.insert(name.clone(), state);
         self.carry_out_control(&name, effects);
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -68,6 +68,8 @@
     /// Whether the deployment is started for the first time. If so, a daemon without a log becomes
     /// an initial voter; otherwise it joins as a learner with a new identity.
     pub bootstrap: bool,
+    /// Initial voters of a new log; ignored if the folder holds the list already.
+    pub initial_voters: Vec<Voter>,
     /// Address at which metrics are served, if any.
     pub metrics_address: Option<SocketAddr>,
 }
@@ -75,7 +77,7 @@
 /// Initial voter that the control daemon with this name becomes when a deployment is started for
 /// the first time.
 pub fn initial_voter(daemon: &Name) -> Voter {
-    let identity = identity::Identity { daemon: daemon.to_string(), number: 0 };
+    let identity = identity::Identity { daemon: daemon.to_string(), ..Default::default() };
     Voter { replica: identity.replica_name(), daemon: daemon.to_string(), weight: 1 }
 }
 
@@ -128,10 +130,13 @@
         TcpListener::bind(config.control_address).await.map_err(Error::Listen)?;
     let link_listener = TcpListener::bind(config.link_address).await.map_err(Error::Listen)?;
     let daemon = config.setup.daemon.clone();
-    let bootstrap = config.bootstrap;
-    let files =
-        Files::open(&config.data_folder.join("control"), &daemon, bootstrap, clock::random_u64());
-    let files = files.map_err(Error::Files)?;
+    let replica_setup = identity::Setup {
+        daemon: &daemon,
+        bootstrap: config.bootstrap,
+        initial_voters: &config.initial_voters,
+    };
+    let folder = config.data_folder.join("control");
+    let files = Files::open(&folder, replica_setup, clock::random_u64()).map_err(Error::Files)?;
     let replica: Name = files.identity.replica_name().into();
     let identity =
         Identity { replica: replica.clone(), daemon: daemon.clone(), weight: 1, electable: true };
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -4,7 +4,14 @@
 //! the identity of an initial voter, whose number is 0. A daemon that is started later and finds no
 //! identity may have lost its disk: it takes a random number and joins as a learner, so that it
 //! can't vote a second time in a term in which it voted under its old identity.
+//!
+//! With its identity, an initial voter stores the list of all initial voters. The settings give that
+//! list only at the first start; those of later starts may name other daemons, which say nothing
+//! about who votes.
+
+use std::path::Path;
 
+use dotterelhoist_core::replica::message::Voter;
 use serde::{Deserialize, Serialize};
 
 use super::disk::Disk;
@@ -16,27 +23,93 @@
 const IDENTITY_NEW_FILE: &str = "identity.new";
 
 /// Identity of a replica. A replica that has lost its disk returns with a new one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
     /// Daemon that created the identity.
     pub daemon: String,
     /// 0 for an initial voter of the log, otherwise a random number.
     pub number: u64,
+    /// All initial voters of the log; empty if this replica is not one of them. Older builds don't
+    /// write this field, and ignore it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub initial_voters: Vec<Voter>,
+}
+
+/// What the settings say about a replica at its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup<'a> {
+    /// Daemon that hosts the replica.
+    pub daemon: &'a str,
+    /// Whether the deployment is started for the first time.
+    pub bootstrap: bool,
+    /// Initial voters, if this is the first start.
+    pub initial_voters: &'a [Voter],
 }
 
 impl Identity {
+    /// Identity for an empty folder: that of an initial voter at the first start of the deployment,
+    /// otherwise that of a learner with the number `random_number`.
+    fn create(setup: Setup<'_>, random_number: u64) -> Identity {
+        let daemon = setup.daemon.to_owned();
+        if setup.bootstrap {
+            return Identity { daemon, number: 0, initial_voters: setup.initial_voters.to_vec() };
+        }
+        Identity { daemon, number: random_number.max(1), initial_voters: Vec::new() }
+    }
+
+    /// Takes the initial voters from the settings if an older build created the identity of an
+    /// initial voter, and the settings still name it as one. Returns whether it has taken them.
+    fn adopt_voters(&mut self, setup: Setup<'_>) -> bool {
+        let name = self.replica_name();
+        let adopts = self.number == 0
+            && self.initial_voters.is_empty()
+            && setup.initial_voters.iter().any(|voter| voter.replica == name);
+        if adopts {
+            self.initial_voters = setup.initial_voters.to_vec();
+        }
+        adopts
+    }
+
     /// Name of the replica in voter lists: the daemon and the number in hexadecimal.
     pub fn replica_name(&self) -> String {
         format!("{}#{:x}", self.daemon, self.number)
     }
 }
 
+/// Whether a folder holds the identity of a replica.
+pub fn is_stored(folder: &Path) -> bool {
+    folder.join(IDENTITY_FILE).is_file()
+}
+
+/// Reads the identity of a replica. An empty folder gets a new one, and the identity that an older
+/// build has written is completed.
+///
+/// # Errors
+///
+/// Returns the error of the operating system, or [`Error::Damaged`] if the file is not an identity.
+pub fn open<Backend>(
+    disk: &mut Backend,
+    setup: Setup<'_>,
+    random_number: u64,
+) -> Result<Identity, Error>
+where
+    Backend: Disk,
+{
+    let stored = read(disk)?;
+    let is_new = stored.is_none();
+    let mut identity = stored.unwrap_or_else(|| Identity::create(setup, random_number));
+    if identity.adopt_voters(setup) || is_new {
+        write(disk, &identity)?;
+    }
+    Ok(identity)
+}
+
 /// Reads the identity; `None` if the folder has none.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system, or [`Error::Damaged`] if the file is not an identity.
-pub fn read<Backend>(disk: &mut Backend) -> Result<Option<Identity>, Error>
+fn read<Backend>(disk: &mut Backend) -> Result<Option<Identity>, Error>
 where
     Backend: Disk,
 {
@@ -52,7 +125,7 @@
 /// # Errors
 ///
 /// Returns the error of the operating system.
-pub fn write<Backend>(disk: &mut Backend, identity: &Identity) -> Result<(), Error>
+fn write<Backend>(disk: &mut Backend, identity: &Identity) -> Result<(), Error>
 where
     Backend: Disk,
 {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -134,30 +134,21 @@
 }
 
 impl Files {
-    /// Opens the folder of a replica that `daemon` hosts. A folder without an identity gets a new
-    /// one: that of an initial voter (number 0) if `bootstrap` is set, otherwise that of a learner
-    /// with the number `random_number`.
+    /// Opens the folder of a replica. `random_number` becomes part of the identity of a learner
+    /// whose folder is empty.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system, or the file and offset of the damage.
     pub fn open(
         path: &Path,
-        daemon: &str,
-        bootstrap: bool,
+        setup: identity::Setup<'_>,
         random_number: u64,
     ) -> Result<Files, Error> {
         let mut folder = Folder::open(path)?;
-        let identity = match identity::read(&mut folder)? {
-            Some(identity) => identity,
-            None => {
-                let number = if bootstrap { 0 } else { random_number.max(1) };
-                let identity = Identity { daemon: daemon.to_owned(), number };
-                identity::write(&mut folder, &identity)?;
-                identity
-            }
-        };
+        let identity = identity::open(&mut folder, setup, random_number)?;
         let (store, stored) = Store::open(folder)?;
+        let stored = Stored { initial_voters: identity.initial_voters.clone(), ..stored };
         Ok(Files { store, identity, stored })
     }
 }
--- a/crates/store/src/wal.rs
+++ b/crates/store/src/wal.rs
@@ -68,7 +68,7 @@
         }
         let vote = wal.ballot.vote_name();
         let Ballot { term, led, .. } = wal.ballot;
-        let stored = Stored { term, vote, led, snapshot, entries };
+        let stored = Stored { term, vote, led, snapshot, entries, ..Stored::default() };
         Ok((wal, stored))
     }
 
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -1,9 +1,10 @@
 //! Tests of the store: loss of power at each operation, torn and lost writes, and damaged files.
 
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 
-use dotterelhoist_core::replica::message::{Entry, Snapshot};
+use dotterelhoist_core::replica::message::{Entry, Snapshot, Voter};
 use dotterelhoist_core::replica::{Stored, Write};
 use dotterelhoist_store::disk::{Disk, Folder};
 use dotterelhoist_store::identity::{self, Identity};
@@ -310,13 +311,58 @@
     assert!(error.to_string().ends_with("is in use by another process"), "{error}");
 }
 
-#[test]
-fn identity_is_kept() {
+/// Opens the identity of daemon `a`, whose settings name these daemons as initial voters.
+fn open_identity(folder: &Path, bootstrap: bool, named: &[&str]) -> Identity {
+    let initial_voters: Vec<Voter> = voters(named);
+    let setup = identity::Setup { daemon: "a", bootstrap, initial_voters: &initial_voters };
+    let mut disk = Folder::open(folder).expect("a folder");
+    identity::open(&mut disk, setup, 31).expect("a healthy disk")
+}
+
+fn voters(daemons: &[&str]) -> Vec<Voter> {
+    let voter = |daemon: &&str| Voter {
+        replica: format!("{daemon}#0"),
+        daemon: (*daemon).to_owned(),
+        weight: 1,
+    };
+    daemons.iter().map(voter).collect()
+}
+
+/// The settings of later starts may name other voters, and still say that this is the first start.
+#[rstest]
+#[case::initial_voter(true, "a#0", &["a", "b", "c"])]
+#[case::learner(false, "a#1f", &[])]
+fn identity_is_that_of_the_first_start(
+    #[case] bootstrap: bool,
+    #[case] replica: &str,
+    #[case] known: &[&str],
+) {
     let folder = tempfile::tempdir().expect("a temporary folder");
-    let mut disk = Folder::open(folder.path()).expect("a folder");
-    assert_eq!(identity::read(&mut disk).expect("a healthy disk"), None);
-    let written = Identity { daemon: "a-1".to_owned(), number: 31 };
-    identity::write(&mut disk, &written).expect("a healthy disk");
-    assert_eq!(identity::read(&mut disk).expect("a healthy disk"), Some(written.clone()));
-    assert_eq!(written.replica_name(), "a-1#1f");
+    let first = open_identity(folder.path(), bootstrap, &["a", "b", "c"]);
+    assert_eq!((first.replica_name().as_str(), &first.initial_voters), (replica, &voters(known)));
+    for bootstrap in [false, true] {
+        for named in [&["d", "e", "f"][..], &["a", "d", "e"], &["a", "b", "c"]] {
+            assert_eq!(open_identity(folder.path(), bootstrap, named), first);
+        }
+    }
+}
+
+/// Builds before did not store the voters, and took them from the settings at each start.
+#[rstest]
+#[case::initial_voter(0, &["a", "b", "c"], &["a", "b", "c"])]
+#[case::initial_voter_that_is_no_longer_named(0, &["d", "e", "f"], &[])]
+#[case::learner(31, &["a", "b", "c"], &[])]
+fn identity_of_an_older_build_gets_the_voters_once(
+    #[case] number: u64,
+    #[case] named: &[&str],
+    #[case] known: &[&str],
+) {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let older = format!(r#"{{"daemon":"a","number":{number}}}"#);
+    std::fs::write(folder.path().join("identity"), older).expect("a healthy disk");
+    let opened = open_identity(folder.path(), false, named);
+    assert_eq!((opened.number, &opened.initial_voters), (number, &voters(known)));
+    if !known.is_empty() {
+        assert_eq!(open_identity(folder.path(), false, &["a", "e", "f"]), opened);
+    }
 }
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -65,6 +65,8 @@
     policy: Value,
     /// Links that connect to another address than the one on which the peer listens.
     redirects: Vec<Redirect>,
+    /// Voters of the configuration log and the claim log; empty for the usual ones.
+    voters: Vec<String>,
 }
 
 /// A link that connects to another address, such as a proxy, instead of the peer's own.
@@ -114,6 +116,7 @@
             program,
             policy: json!({ "load-seconds": 1.0, "loads-per-minute": 6000 }),
             redirects: Vec::new(),
+            voters: Vec::new(),
         }
     }
 
@@ -122,6 +125,12 @@
         self.policy = policy;
     }
 
+    /// Sets the daemons that the settings name as voters of the configuration log and the claim log;
+    /// takes effect when a daemon is next started.
+    pub fn set_voters(&mut self, daemons: &[&str]) {
+        self.voters = daemons.iter().map(|daemon| (*daemon).to_owned()).collect();
+    }
+
     /// Redirects the link from one daemon to another; takes effect when `from` is next started.
     pub fn add_redirect(&mut self, redirect: Redirect) {
         self.redirects.push(redirect);
@@ -151,9 +160,12 @@
         self.daemons.iter().map(|daemon| daemon.addresses.callers).collect()
     }
 
-    /// Voters of the configuration log and the claim log: all daemons with a disk, or the first one
-    /// of each zone if there are more than five.
+    /// Voters of the configuration log and the claim log: those that were set, otherwise all daemons
+    /// with a disk, or the first one of each zone if there are more than five.
     fn voters(&self) -> Vec<Value> {
+        if !self.voters.is_empty() {
+            return self.voters.iter().map(|daemon| json!({ "daemon": daemon })).collect();
+        }
         let with_disk = self.daemons.iter().filter(|daemon| daemon.has_disk);
         let mut voters: Vec<&Daemon> = with_disk.collect();
         if voters.len() > 5 {
--- a/examples/measure/simulated.rs
+++ b/examples/measure/simulated.rs
@@ -42,28 +42,18 @@
     /// As [`Daemon::new`], with a given policy.
     pub fn with_policy(host: bool, links: usize, policy: Policy) -> Daemon {
         let name: Name = "d".into();
-        let voter = |daemon: &str| Voter {
-            replica: format!("{daemon}#0"),
-            daemon: daemon.to_owned(),
-            weight: 1,
+        let log = |log: &str, content, host: &str| LogSetup {
+            name: log.into(),
+            content,
+            hosts: vec![host.into()],
         };
         let logs = vec![
-            LogSetup {
-                name: "c".into(),
-                content: Content::Configuration,
-                initial_voters: vec![voter("d")],
-            },
-            LogSetup {
-                name: "k".into(),
-                content: Content::Claims,
-                initial_voters: vec![voter("d")],
-            },
-            LogSetup {
-                name: "p".into(),
-                content: Content::Placement("z".into()),
-                initial_voters: vec![voter(if host { "d" } else { "h" })],
-            },
+            log("c", Content::Configuration, "d"),
+            log("k", Content::Claims, "d"),
+            log("p", Content::Placement("z".into()), if host { "d" } else { "h" }),
         ];
+        let own_voter = Voter { replica: "d#0".into(), daemon: "d".into(), weight: 1 };
+        let stored = Stored { initial_voters: vec![own_voter], ..Stored::default() };
         let hosted_logs = logs.iter().filter(|log| host || log.name != "p".into());
         let replicas = hosted_logs.map(|log| StoredReplica {
             log: log.name.clone(),
@@ -73,7 +63,7 @@
                 weight: 1,
                 electable: true,
             },
-            stored: Stored::default(),
+            stored: stored.clone(),
         });
         let replicas = replicas.collect();
         let setup = Setup {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -17,6 +17,8 @@
 mod crashes;
 #[path = "platform/cuts.rs"]
 mod cuts;
+#[path = "platform/daemon.rs"]
+mod daemon;
 #[path = "platform/deployment.rs"]
 mod deployment;
 #[path = "platform/endings.rs"]
@@ -27,9 +29,10 @@
 mod engine;
 #[path = "platform/floods.rs"]
 mod floods;
-
 #[path = "platform/relays.rs"]
 mod relays;
+#[path = "platform/seeds.rs"]
+mod seeds;
 
 /// Number of requests that one call of [`serve_all`] sends.
 const REQUESTS: usize = 40;
--- a/tests/platform/builds.rs
+++ b/tests/platform/builds.rs
@@ -5,7 +5,8 @@
 
 use rstest::rstest;
 
-use super::deployment::{Build, Deployment, CONTROL_DAEMONS};
+use super::daemon::Build;
+use super::deployment::{Deployment, CONTROL_DAEMONS};
 use super::{serve_all, RECOVERY_TIMEOUT, REQUESTS};
 
 /// Waits until all requests are served, and until a document with this version is in force after it was
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -2,8 +2,7 @@
 //! endpoints.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -20,15 +19,10 @@
 };
 use crate::crashes::Crashes;
 use crate::cuts::Cuts;
+use crate::daemon::{self, address, unique_ips, Build, Settings, PORTS};
 use crate::engine::{unlimited, Engine, Handle, Limit, Rest, Runs, Silence};
 use crate::floods::Flood;
 
-/// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
-/// that no outgoing connection occupies one before its daemon listens on it.
-pub const PORTS: Ports =
-    Ports { control: 20_001, links: 20_002, callers: 20_003, readiness: 20_004 };
-/// Environment variable with the path of the program of [`Build::Other`].
-const OTHER_BUILD: &str = "DOTTERELHOIST_OTHER_BUILD";
 /// Number of control daemons of a deployment.
 pub const CONTROL_DAEMONS: usize = 3;
 /// Path on the streaming route.
@@ -62,22 +56,6 @@
     Endless(Flood),
 }
 
-/// Build of the daemons that a test runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Build {
-    /// The one under test.
-    Present,
-    /// The one at the path in [`OTHER_BUILD`], such as the build before; without it, the one under test.
-    Other,
-}
-
-impl Build {
-    fn program(self) -> PathBuf {
-        let other = std::env::var_os(OTHER_BUILD).filter(|_| self == Build::Other);
-        other.map_or_else(|| env!("CARGO_BIN_EXE_dotterelhoistd").into(), PathBuf::from)
-    }
-}
-
 /// A running deployment; dropping it kills its processes.
 pub struct Deployment {
     /// Temporary folder with the settings files and data folders; removed on drop.
@@ -108,19 +86,6 @@
     label_count: AtomicU64,
 }
 
-/// Ports on which a daemon listens.
-#[derive(Clone, Copy)]
-pub struct Ports {
-    /// Of a control daemon, for endpoints and operators.
-    control: u16,
-    /// Of a control daemon, for links from other daemons; of an entry daemon, for relayed requests.
-    pub links: u16,
-    /// Of an entry daemon, for callers.
-    callers: u16,
-    /// Of an entry daemon, for readiness checks.
-    readiness: u16,
-}
-
 impl Deployment {
     /// Starts all daemons and engines, puts a configuration document, and waits until the entry
     /// daemon is ready and serves a request on each route.
@@ -133,7 +98,7 @@
         let folder = tempfile::tempdir().expect("a temporary folder can be created");
         let mut deployment = Deployment {
             folder,
-            ips: unique_ips(),
+            ips: unique_ips(CONTROL_DAEMONS as u64 + 1),
             control_daemons: Vec::new(),
             entry: None,
             engines: Vec::new(),
@@ -193,35 +158,8 @@
         control: bool,
         seeds: &[SocketAddr],
     ) -> Child {
-        let Ports { control: control_port, links, callers, readiness } = PORTS;
-        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-        let listen = match control {
-            true => {
-                let data = self.folder.path().join(ip);
-                format!("listen.control={ip}:{control_port}\ndata_dir={}\n", data.display())
-            }
-            false => format!("listen.front={ip}:{callers}\nlisten.ready={ip}:{readiness}\n"),
-        };
-        let text = format!(
-            "ip={ip}\nzone=z\ninternal_ports={links},{links}\nseeds={}\nbootstrap=true\n\
-             heartbeat_interval_ms=200\nbounds.stall_ms=500\nfault_tolerance.machines=1\n{listen}",
-            seeds.join(",")
-        );
-        let path = self.folder.path().join(format!("{ip}.conf"));
-        std::fs::write(&path, text).expect("the temporary folder is writable");
-        let log = std::fs::File::options().create(true).append(true).open(self.log_path(ip));
-        let log = log.expect("the temporary folder is writable");
-        Command::new(build.program())
-            .arg("platform")
-            .env("DOTTERELHOIST_NODE_FILE", path)
-            .stdout(Stdio::from(log))
-            .spawn()
-            .expect("the daemon was built")
-    }
-
-    /// File to which the daemon with this address writes its log.
-    fn log_path(&self, ip: &str) -> PathBuf {
-        self.folder.path().join(format!("{ip}.log"))
+        let settings = Settings { ip, control, seeds, bootstrap: true };
+        daemon::spawn(build, self.folder.path(), &settings)
     }
 
     fn entry_address(&self, port: u16) -> SocketAddr {
@@ -508,10 +446,7 @@
 
     /// Kills the control daemon with this index.
     pub fn kill_control_daemon(&mut self, index: usize) {
-        if let Some(mut child) = self.control_daemons[index].take() {
-            child.kill().expect("the daemon runs");
-            child.wait().expect("the daemon was killed");
-        }
+        daemon::kill(&mut self.control_daemons[index]);
     }
 
     /// Starts the control daemon with this index, which was killed, on its data folder.
@@ -570,12 +505,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        if std::thread::panicking() {
-            for ip in &self.ips {
-                let log = std::fs::read_to_string(self.log_path(ip)).unwrap_or_default();
-                println!("log of the daemon at {ip}:\n{log}");
-            }
-        }
+        daemon::print_logs(self.folder.path(), &self.ips);
         for child in self.control_daemons.iter_mut().chain([&mut self.entry]).flatten() {
             child.kill().ok();
             child.wait().ok();
@@ -588,23 +518,6 @@
     body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
 
-fn address(ip: &str, port: u16) -> SocketAddr {
-    format!("{ip}:{port}").parse().expect("a valid address")
-}
-
-/// Returns loopback addresses for the daemons of a deployment. They depend on the process id and on
-/// a counter, so that deployments that run at once have different ones.
-fn unique_ips() -> Vec<String> {
-    static DEPLOYMENT_COUNT: AtomicU64 = AtomicU64::new(0);
-    let number = DEPLOYMENT_COUNT.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    let (high, low) = (process / 250 % 250 + 1, process % 250 + 1);
-    let daemons = CONTROL_DAEMONS as u64 + 1;
-    let first = number * daemons + 1;
-    assert!(first + daemons <= 255, "no addresses are left for deployment {number}");
-    (0..daemons).map(|index| format!("127.{high}.{low}.{}", first + index)).collect()
-}
-
 /// Configuration document of all tests: a streaming route that allows 2 attempts, and routes whose
 /// requests are not idempotent: one and `more` further ones.
 pub fn document(version: u64, more: usize) -> serde_json::Value {
--- a/tests/platform/relays.rs
+++ b/tests/platform/relays.rs
@@ -15,7 +15,8 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
-use super::deployment::{document, event_ids, Build, Deployment, PORTS};
+use super::daemon::{Build, PORTS};
+use super::deployment::{document, event_ids, Deployment};
 use super::{RECOVERY_TIMEOUT, REQUESTS};
 
 /// Version of the configuration document of the stand-in, which is that of the deployment.
--- /dev/null
+++ b/tests/platform/seeds.rs
@@ -0,0 +1,269 @@
+//! Control daemons whose settings name other seeds than before.
+//!
+//! Three control daemons are started first, and three are added. Then the settings change, and the
+//! daemons read them when they are started again.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use tempfile::TempDir;
+
+use super::callers::send;
+use super::daemon::{self, address, unique_ips, Build, Settings, PORTS};
+use super::deployment::document;
+
+/// Control daemons of the first start.
+const FIRST: [usize; 3] = [0, 1, 2];
+/// Control daemons that are added.
+const ADDED: [usize; 3] = [3, 4, 5];
+const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
+/// Time within which a control plane must be in order after a start.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of the log lines that list the voters.
+const VOTERS_EVENT: &str = r#""event":"voters""#;
+
+/// Six control daemons without endpoints; dropping it kills them.
+struct ControlPlane {
+    folder: TempDir,
+    ips: Vec<String>,
+    daemons: Vec<Option<Child>>,
+    last_version: u64,
+}
+
+impl ControlPlane {
+    /// Starts three control daemons of this build, and adds three.
+    fn start(build: Build) -> ControlPlane {
+        let mut plane = ControlPlane {
+            folder: tempfile::tempdir().expect("a temporary folder can be created"),
+            ips: unique_ips(ALL.len() as u64),
+            daemons: ALL.iter().map(|_| None).collect(),
+            last_version: 0,
+        };
+        for index in FIRST {
+            plane.start_daemon(build, index, &FIRST, true);
+        }
+        plane.check();
+        for index in ADDED {
+            plane.start_daemon(build, index, &FIRST, false);
+        }
+        plane.check();
+        plane
+    }
+
+    fn start_daemon(&mut self, build: Build, index: usize, seeds: &[usize], bootstrap: bool) {
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|seed| self.control_address(*seed)).collect();
+        let settings = Settings { ip: &self.ips[index], control: true, seeds: &seeds, bootstrap };
+        self.daemons[index] = Some(daemon::spawn(build, self.folder.path(), &settings));
+    }
+
+    /// Kills all of these daemons, and starts them with these seeds.
+    fn restart(&mut self, build: Build, indices: &[usize], seeds: &[usize]) {
+        self.kill(indices);
+        for index in indices {
+            self.start_daemon(build, *index, seeds, false);
+        }
+    }
+
+    fn kill(&mut self, indices: &[usize]) {
+        for index in indices {
+            daemon::kill(&mut self.daemons[*index]);
+        }
+    }
+
+    /// Removes the data of a daemon that was killed.
+    fn empty_disk(&self, index: usize) {
+        let folder = daemon::data_folder(self.folder.path(), &self.ips[index]);
+        std::fs::remove_dir_all(folder).expect("the daemon has stored data");
+    }
+
+    fn control_address(&self, index: usize) -> SocketAddr {
+        address(&self.ips[index], PORTS.control)
+    }
+
+    /// Checks that all running daemons return the newest document, that a newer one is accepted, and
+    /// that all return that one.
+    fn check(&mut self) {
+        if self.last_version > 0 {
+            self.check_version();
+        }
+        self.last_version += 1;
+        let body = document(self.last_version, 0).to_string();
+        let accepts = |index: usize| {
+            let reply = send(self.control_address(index), "POST", "/Config.Put", "", &body);
+            reply.is_some_and(|reply| reply.status == 200)
+        };
+        let accepted = self.poll(|plane| plane.running().into_iter().any(accepts));
+        assert!(accepted, "version {} was not accepted", self.last_version);
+        self.check_version();
+    }
+
+    fn check_version(&self) {
+        for index in self.running() {
+            let mut newest = None;
+            let read = self.poll(|plane| {
+                newest = plane.read_version(index);
+                newest == Some(self.last_version)
+            });
+            let version = self.last_version;
+            assert!(read, "daemon {index} returns {newest:?} in place of version {version}");
+        }
+    }
+
+    fn read_version(&self, index: usize) -> Option<u64> {
+        let reply = send(self.control_address(index), "GET", "/Config.Get", "", "")?;
+        let document: serde_json::Value = serde_json::from_str(&reply.body).ok()?;
+        document["version"].as_u64()
+    }
+
+    /// The voters that a daemon has last logged.
+    fn voters(&self, index: usize) -> Option<String> {
+        let log = daemon::read_log(self.folder.path(), &self.ips[index]);
+        log.lines().rfind(|line| line.contains(VOTERS_EVENT)).map(str::to_owned)
+    }
+
+    fn running(&self) -> Vec<usize> {
+        ALL.into_iter().filter(|index| self.daemons[*index].is_some()).collect()
+    }
+
+    /// Calls `check` until it returns true; returns false after [`SETTLE_TIMEOUT`].
+    fn poll<Check>(&self, mut check: Check) -> bool
+    where
+        Check: FnMut(&ControlPlane) -> bool,
+    {
+        let end = Instant::now() + SETTLE_TIMEOUT;
+        while Instant::now() < end {
+            if check(self) {
+                return true;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        false
+    }
+}
+
+impl Drop for ControlPlane {
+    fn drop(&mut self) {
+        daemon::print_logs(self.folder.path(), &self.ips);
+        self.kill(&ALL);
+    }
+}
+
+/// After an exchange of the seeds no daemon knew the voters of the log any more.
+#[rstest]
+#[case::all_exchanged(&ADDED)]
+#[case::two_exchanged(&[0, 3, 4])]
+#[case::one_exchanged(&[3, 1, 2])]
+#[case::only_one_left(&[4])]
+fn seeds_changed_and_all_killed_keep_the_log(#[case] seeds: &[usize]) {
+    let mut plane = ControlPlane::start(Build::Present);
+    plane.restart(Build::Present, &ALL, seeds);
+    plane.check();
+}
+
+#[rstest]
+#[case::first_daemons_first([0, 1, 2, 3, 4, 5])]
+#[case::added_daemons_first([5, 4, 3, 2, 1, 0])]
+fn seeds_changed_and_restarts_in_turn_keep_the_log(#[case] order: [usize; 6]) {
+    let mut plane = ControlPlane::start(Build::Present);
+    for index in order {
+        plane.restart(Build::Present, &[index], &ADDED);
+        plane.check();
+    }
+}
+
+#[test]
+fn seeds_changed_again_and_again_keep_the_log() {
+    let mut plane = ControlPlane::start(Build::Present);
+    let changes: [[usize; 3]; 4] = [ADDED, [1, 3, 4], [2, 5, 0], ADDED];
+    for seeds in changes {
+        plane.restart(Build::Present, &ALL[1..5], &seeds);
+        plane.check();
+        plane.restart(Build::Present, &ALL, &seeds);
+        plane.check();
+    }
+}
+
+/// Some daemons have read the new settings, and some the old ones.
+#[rstest]
+#[case::one_of_the_first(&[0])]
+#[case::two_of_the_first(&[0, 1])]
+#[case::one_of_the_added(&[3])]
+#[case::one_of_each(&[2, 4])]
+fn seeds_changed_for_some_daemons_keep_the_log(#[case] changed: &[usize]) {
+    let mut plane = ControlPlane::start(Build::Present);
+    plane.kill(&ALL);
+    for index in ALL {
+        let seeds = if changed.contains(&index) { ADDED } else { FIRST };
+        plane.start_daemon(Build::Present, index, &seeds, false);
+    }
+    plane.check();
+}
+
+/// A new seed that has lost its disk must not found a second cluster, even if its settings still say
+/// that this is the first start.
+#[rstest]
+#[case::new_seed(&[3], false)]
+#[case::new_seed_as_if_at_the_first_start(&[3], true)]
+#[case::two_new_seeds_as_if_at_the_first_start(&[3, 4], true)]
+#[case::all_new_seeds(&ADDED, false)]
+#[case::first_voter(&[1], false)]
+fn seeds_changed_and_disks_lost_keep_the_log(#[case] emptied: &[usize], #[case] bootstrap: bool) {
+    let mut plane = ControlPlane::start(Build::Present);
+    plane.kill(&ALL);
+    for index in emptied {
+        plane.empty_disk(*index);
+    }
+    for index in ALL {
+        plane.start_daemon(Build::Present, index, &ADDED, bootstrap);
+    }
+    plane.check();
+    plane.restart(Build::Present, &ALL, &ADDED);
+    plane.check();
+}
+
+/// The old seeds are removed for good, one after the other.
+#[test]
+fn seeds_changed_and_old_ones_removed_keep_the_log() {
+    let mut plane = ControlPlane::start(Build::Present);
+    plane.restart(Build::Present, &ALL, &ADDED);
+    for index in FIRST {
+        plane.check();
+        plane.kill(&[index]);
+        plane.check();
+        let replaced = plane.poll(|plane| {
+            plane
+                .voters(ADDED[0])
+                .is_some_and(|voters| !voters.contains(&format!("{}#", plane.ips[index])))
+        });
+        assert!(replaced, "daemon {index} is still a voter");
+    }
+    plane.restart(Build::Present, &ADDED, &ADDED);
+    plane.check();
+}
+
+/// The build is changed first, and the seeds later, in both directions on the same data.
+#[rstest]
+#[case::from_the_build_before(Build::Other, Build::Present)]
+#[case::back_to_the_build_before(Build::Present, Build::Other)]
+fn seeds_changed_after_the_build_keep_the_log(#[case] from: Build, #[case] to: Build) {
+    let mut plane = ControlPlane::start(from);
+    for index in ALL {
+        plane.restart(to, &[index], &FIRST);
+        plane.check();
+    }
+    plane.restart(to, &ALL, &ADDED);
+    plane.check();
+}
+
+/// One daemon was replaced by this build before the settings changed, and all others after it.
+#[test]
+fn voters_are_learned_from_a_candidate_that_knows_them() {
+    let mut plane = ControlPlane::start(Build::Other);
+    plane.restart(Build::Present, &[0], &FIRST);
+    plane.check();
+    plane.restart(Build::Present, &ALL[1..], &ADDED);
+    plane.check();
+}
