Control daemons log what becomes of operators' calls

Change: lines 223 to 226 with a call's number: forwarded, answered (and by whom), answered for another daemon, and answers that match no call.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -140,7 +140,8 @@
 }
 
 /// Answer to an operator.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Answer {
     /// The document that was put, or one with the same or a higher version, is in force.
     Accepted,
@@ -411,7 +412,7 @@
             Body::Reserve(reserve) => self.assign_slot(now, from, reserve, effects),
             Body::Fetch(fetch) => self.send_document(from, &fetch, effects),
             Body::Call(call) => self.handle_forwarded_call(now, from, call, effects),
-            Body::Reply(reply) => self.handle_forwarded_reply(reply, effects),
+            Body::Reply(reply) => self.handle_forwarded_reply(&from, reply, effects),
             _ => {}
         }
     }
--- a/crates/fleet/src/control/operators.rs
+++ b/crates/fleet/src/control/operators.rs
@@ -26,6 +26,9 @@
 /// unavailable.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(2600);
 
+/// Value of `by` in a log line about a call that this daemon has answered as leader.
+const OWN_DECISION: &str = "leader";
+
 /// Who is sent the answer to a call.
 #[derive(Clone, Debug)]
 pub(super) enum Requester {
@@ -59,6 +62,16 @@
     forwarded: bool,
 }
 
+impl PendingCall {
+    /// What a log line says about the call when it is forwarded to `leader`.
+    fn describe(&self, leader: &Name) -> String {
+        match &self.document {
+            Some(document) => format!("put={} leader={leader}", document.version),
+            None => format!("get leader={leader}"),
+        }
+    }
+}
+
 impl<Decoder> State<Decoder>
 where
     Decoder: Reader,
@@ -123,11 +136,12 @@
             }
             let timeout = if call.forwarded { FORWARD_TIMEOUT } else { LEADER_TIMEOUT };
             if now.since(call.since) > timeout {
-                effects.push(Effect::Answer(call.ticket, Answer::Unavailable));
+                answer_operator(call.ticket, Answer::Unavailable, "timeout", effects);
                 return false;
             }
             if let Some(leader) = leader.as_ref().filter(|_| !call.forwarded) {
                 call.forwarded = true;
+                log_call(224, "call forwarded", call.ticket, call.describe(leader), effects);
                 let request = Call {
                     ticket: call.ticket,
                     document: call.document.clone(),
@@ -157,9 +171,15 @@
     }
 
     /// Passes the leader's answer to a forwarded call on to the operator.
-    pub(super) fn handle_forwarded_reply(&mut self, reply: Reply, effects: &mut Vec<Effect>) {
+    pub(super) fn handle_forwarded_reply(
+        &mut self,
+        from: &Name,
+        reply: Reply,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(at) = self.pending_calls.iter().position(|call| call.ticket == reply.ticket)
         else {
+            log_call(225, "answer ignored", reply.ticket, format!("from={from}"), effects);
             return;
         };
         let call = self.pending_calls.remove(at);
@@ -170,7 +190,7 @@
         } else {
             self.answer_to_read(reply.document)
         };
-        effects.push(Effect::Answer(call.ticket, answer));
+        answer_operator(call.ticket, answer, from, effects);
     }
 
     /// Answer to an operator that reads the document: the one that the leader sent or, if it has
@@ -227,10 +247,12 @@
         match requester {
             Requester::Local(ticket) => {
                 let answer = self.answer_to_read(Some(document.clone()));
-                effects.push(Effect::Answer(ticket, answer));
+                answer_operator(ticket, answer, OWN_DECISION, effects);
             }
             Requester::Remote(daemon, ticket) => {
                 let document = (document.version != known_version).then(|| document.clone());
+                let detail = format!("answered=true requester={daemon}");
+                log_call(226, "forwarded call answered", ticket, detail, effects);
                 let reply = Reply { ticket, answered: true, document };
                 effects.push(Effect::Send(daemon, Body::Reply(reply)));
             }
@@ -265,10 +287,31 @@
 /// Sends the answer to an operator's call to put a document, or to the daemon that forwarded the call.
 fn send_answer(requester: Requester, answer: Answer, effects: &mut Vec<Effect>) {
     match requester {
-        Requester::Local(ticket) => effects.push(Effect::Answer(ticket, answer)),
+        Requester::Local(ticket) => answer_operator(ticket, answer, OWN_DECISION, effects),
         Requester::Remote(daemon, ticket) => {
-            let reply = Reply { ticket, answered: answer == Answer::Accepted, document: None };
+            let answered = answer == Answer::Accepted;
+            let detail = format!("answered={answered} requester={daemon}");
+            log_call(226, "forwarded call answered", ticket, detail, effects);
+            let reply = Reply { ticket, answered, document: None };
             effects.push(Effect::Send(daemon, Body::Reply(reply)));
         }
     }
 }
+
+/// Answers an operator's call to this daemon. `by` says in the log who has decided it.
+fn answer_operator(ticket: u64, answer: Answer, by: &str, effects: &mut Vec<Effect>) {
+    let detail = format!("answer={answer} by={by}");
+    log_call(223, "call answered", ticket, detail, effects);
+    effects.push(Effect::Answer(ticket, answer));
+}
+
+/// Writes a log line about an operator's call.
+fn log_call(
+    code: u16,
+    event: &'static str,
+    ticket: u64,
+    detail: String,
+    effects: &mut Vec<Effect>,
+) {
+    effects.push(Effect::Log(journal::Event::new(code, event, format!("call-{ticket:x}"), detail)));
+}
