An answer is taken only by the process that asked, from the daemon it asked

Cause: a control daemon numbers the calls that it forwards to the leader from 1 in each process, and took a reply by this number alone, also for a call that it had not sent yet. The leader, frozen and awake again, answered a call of a process that had been killed meanwhile. Evidence: line 223 (accepted) for call-1 of the new process without a line 224 (forwarded), and a single line 226 of the leader for the call-1 of the process before. That the leader stored and lost it, or that the daemon answered by itself, is excluded by the same lines.

Change: numbers start at a random 64-bit number (core/ticket.rs); a reply counts only if the call was forwarded, and to its sender. Others are ignored and logged (225).

Why it works: a reply can no longer name a call of another process, beside any build of the leader, since all echo the number unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod selector;
 pub mod state;
 pub mod status;
+pub mod ticket;
 pub mod view;
 
 pub use name::Name;
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -113,14 +113,15 @@
     Deregistered(Name),
     /// An operator has sent a document.
     PutDocument {
-        /// Identifies the call in [`Effect::Answer`].
+        /// Identifies the call in [`Effect::Answer`] and to the leader. No other call of this daemon
+        /// has it, also not of its earlier processes.
         ticket: u64,
         /// The operator's bytes.
         body: Vec<u8>,
     },
     /// An operator asks for the document in force.
     GetDocument {
-        /// Identifies the call in [`Effect::Answer`].
+        /// As in [`Event::PutDocument`].
         ticket: u64,
     },
     /// An order to an endpoint has finished.
--- a/crates/fleet/src/control/operators.rs
+++ b/crates/fleet/src/control/operators.rs
@@ -58,8 +58,8 @@
     document: Option<Patch>,
     /// When the call arrived.
     since: Instant,
-    /// Whether it was forwarded to a leader.
-    forwarded: bool,
+    /// Leader that it was forwarded to; nobody else can answer it.
+    forwarded_to: Option<Name>,
 }
 
 impl PendingCall {
@@ -118,7 +118,7 @@
         document: Option<Patch>,
         effects: &mut Vec<Effect>,
     ) {
-        self.pending_calls.push(PendingCall { ticket, document, since: now, forwarded: false });
+        self.pending_calls.push(PendingCall { ticket, document, since: now, forwarded_to: None });
         self.process_calls(now, effects);
     }
 
@@ -129,18 +129,21 @@
         let leader = self.replica.leader().filter(|leader| **leader != self.setup.daemon).cloned();
         let mut calls = std::mem::take(&mut self.pending_calls);
         calls.retain_mut(|call| {
-            if leads && !call.forwarded {
+            if leads && call.forwarded_to.is_none() {
                 let requester = Requester::Local(call.ticket);
                 self.answer_as_leader(now, requester, call.document.take(), 0, effects);
                 return false;
             }
-            let timeout = if call.forwarded { FORWARD_TIMEOUT } else { LEADER_TIMEOUT };
+            let timeout = match &call.forwarded_to {
+                Some(_) => FORWARD_TIMEOUT,
+                None => LEADER_TIMEOUT,
+            };
             if now.since(call.since) > timeout {
                 answer_operator(call.ticket, Answer::Unavailable, "timeout", effects);
                 return false;
             }
-            if let Some(leader) = leader.as_ref().filter(|_| !call.forwarded) {
-                call.forwarded = true;
+            if let Some(leader) = leader.as_ref().filter(|_| call.forwarded_to.is_none()) {
+                call.forwarded_to = Some(leader.clone());
                 log_call(224, "call forwarded", call.ticket, call.describe(leader), effects);
                 let request = Call {
                     ticket: call.ticket,
@@ -170,15 +173,18 @@
         self.answer_as_leader(now, requester, request.document, request.version, effects);
     }
 
-    /// Passes the leader's answer to a forwarded call on to the operator.
+    /// Passes the leader's answer to a forwarded call on to the operator. An answer to a call that was
+    /// not forwarded to this leader is ignored: it belongs to another one.
     pub(super) fn handle_forwarded_reply(
         &mut self,
         from: &Name,
         reply: Reply,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(at) = self.pending_calls.iter().position(|call| call.ticket == reply.ticket)
-        else {
+        let answers = |call: &PendingCall| {
+            call.ticket == reply.ticket && call.forwarded_to.as_ref() == Some(from)
+        };
+        let Some(at) = self.pending_calls.iter().position(answers) else {
             log_call(225, "answer ignored", reply.ticket, format!("from={from}"), effects);
             return;
         };
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -342,7 +342,8 @@
 /// A call of an operator that a control daemon forwards to the leader.
 #[derive(Clone, PartialEq, Message)]
 pub struct Call {
-    /// Correlation number chosen by the sender and echoed in the [`Reply`].
+    /// Correlation number chosen by the sender and echoed in the [`Reply`]. The sender's processes
+    /// start at random numbers, so that one never takes the reply to a call of an earlier one.
     #[prost(uint64, tag = "1")]
     pub ticket: u64,
     /// The document to put in force, valid and complete by itself; none to read the current one.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -18,7 +18,7 @@
     Document, Draft, Engine as EngineModel, Finding, Model, Service,
 };
 use dotterelhoist_fleet::endpoint::{Heartbeat, Membership, Stage};
-use dotterelhoist_fleet::message::{Body, Fetch, Hello, Report};
+use dotterelhoist_fleet::message::{Body, Fetch, Hello, Reply, Report};
 use dotterelhoist_fleet::order::{Order, Outcome, Task};
 use dotterelhoist_fleet::patch::Patch;
 use dotterelhoist_fleet::probe;
@@ -329,6 +329,12 @@
         ticket
     }
 
+    /// Delivers an answer to the call with this ticket, as if the call had been forwarded to `from`.
+    pub fn answer_call(&mut self, daemon: &Name, from: &Name, ticket: u64) {
+        let body = Body::Reply(Reply { ticket, answered: true, document: None });
+        self.apply(daemon, Event::Received { from: from.clone(), body, random: 1 });
+    }
+
     fn next_ticket(&mut self) -> u64 {
         self.last_ticket += 1;
         self.last_ticket
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -53,6 +53,26 @@
     }
 }
 
+/// Only the leader to which a call was forwarded can answer it.
+#[rstest]
+#[case::forwarded_to_the_leader(false)]
+#[case::not_forwarded(true)]
+fn answer_that_was_not_asked_for_is_ignored(#[case] leaderless: bool) {
+    let mut cluster = serving_cluster(1);
+    let leader = cluster.leader().expect("a leader");
+    let followers: Vec<Name> = daemon_names().into_iter().filter(|name| *name != leader).collect();
+    cluster.control_partitioned = true;
+    if leaderless {
+        cluster.run(SECOND * 3);
+    }
+    let put = cluster.put(&followers[0], "7");
+    let from = if leaderless { &leader } else { &followers[1] };
+    cluster.answer_call(&followers[0], from, put);
+    assert_eq!(cluster.answers.get(&put), None);
+    cluster.run(SECOND * 3);
+    assert_eq!(cluster.answers.get(&put), Some(&Answer::Unavailable));
+}
+
 #[rstest]
 #[case::older("3")]
 #[case::same("7")]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,7 +1,7 @@
 //! The shell of a control daemon: sockets, the log's files and timers around
 //! [`dotterelhoist_fleet::control::State`].
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -11,6 +11,7 @@
 use displaydoc::Display;
 use dotterelhoist_core::replica::message::Voter;
 use dotterelhoist_core::replica::Identity;
+use dotterelhoist_core::ticket;
 use dotterelhoist_fleet::control::{Answer, Effect, Event, State};
 use dotterelhoist_fleet::journal as log_events;
 use dotterelhoist_fleet::message::Hello;
@@ -107,8 +108,8 @@
     /// Channels to the tasks that wait for the answer to an operator's call, by the ticket of the
     /// call.
     pending_answers: RefCell<HashMap<u64, Sender<Answer>>>,
-    /// Ticket for the next call of an operator: the number that matches the answer to the call.
-    next_ticket: Cell<u64>,
+    /// Tickets of operators' calls: the numbers that match the answers to the calls.
+    tickets: RefCell<ticket::Sequence>,
     executor: Rc<smol::LocalExecutor<'static>>,
 }
 
@@ -158,7 +159,7 @@
         meter: Meter::open("control"),
         call_memory: Budget::open(MAX_CALL_BYTES),
         pending_answers: RefCell::default(),
-        next_ticket: Cell::new(1),
+        tickets: RefCell::new(ticket::Sequence::open(clock::random_u64())),
         executor: executor.clone(),
     });
     let handler = {
@@ -374,8 +375,7 @@
     where
         MakeEvent: FnOnce(u64) -> Event,
     {
-        let ticket = self.next_ticket.get();
-        self.next_ticket.set(ticket + 1);
+        let ticket = self.tickets.borrow_mut().draw();
         let (sender, answer) = bounded(1);
         self.pending_answers.borrow_mut().insert(ticket, sender);
         self.apply(make_event(ticket));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -29,6 +29,8 @@
 mod engine;
 #[path = "platform/floods.rs"]
 mod floods;
+#[path = "platform/forwarding.rs"]
+mod forwarding;
 #[path = "platform/relays.rs"]
 mod relays;
 #[path = "platform/seeds.rs"]
