Own interface: outcomes of forwarded commands are matched as in the platform's control daemons

Change: tickets start at a random number, and a proposal knows to whom it was forwarded. Other answers are ignored and counted (answers.ignored).

--- a/crates/core/src/count.rs
+++ b/crates/core/src/count.rs
@@ -46,6 +46,8 @@
     Announced,
     /// A command was proposed again because its outcome did not arrive in time.
     Reproposed,
+    /// An answer arrived from a daemon that no command with its ticket was forwarded to.
+    AnswerIgnored,
     /// A usage line was not acknowledged as recorded before the daemon stopped.
     Unrecorded,
 }
@@ -66,6 +68,7 @@
             Counter::Ordered => "orders.given".to_owned(),
             Counter::Announced => "announcements".to_owned(),
             Counter::Reproposed => "proposals.repeated".to_owned(),
+            Counter::AnswerIgnored => "answers.ignored".to_owned(),
             Counter::Unrecorded => "usage.unrecorded".to_owned(),
         }
     }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -307,7 +307,8 @@
 /// A command forwarded to the leader of a log.
 #[derive(Clone, PartialEq, Message)]
 pub struct Forward {
-    /// Chosen by the sender, echoed in the [`Answer`].
+    /// Chosen by the sender, echoed in the [`Answer`]. The sender's processes start at random numbers,
+    /// so that one never takes the answer to a command of an earlier one.
     #[prost(uint64, tag = "1")]
     pub ticket: u64,
     /// Name of the log.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -27,6 +27,7 @@
 use crate::replica::{Identity, Stored, Timing};
 use crate::retry::Budget;
 use crate::route::{self, Strategy};
+use crate::ticket;
 use crate::view::View;
 use crate::Name;
 
@@ -81,6 +82,8 @@
     pub daemon: Name,
     /// Time of the daemon's start in milliseconds since the Unix epoch; grows with each start.
     pub incarnation: u64,
+    /// Random number at which the tickets of this start begin.
+    pub first_ticket: u64,
     /// Availability zone of this daemon.
     pub zone: Name,
     /// All availability zones, in the same order on each daemon.
@@ -122,8 +125,8 @@
     proposals: BTreeMap<u64, Proposal>,
     /// Tickets to resolve when an entry that this daemon appended as leader is applied.
     waiters: BTreeMap<logs::Position, Waiter>,
-    /// Ticket of the next proposal.
-    next_ticket: u64,
+    /// Tickets of proposals.
+    tickets: ticket::Sequence,
     /// The configuration in force, parsed.
     view: View,
     /// Endpoints of the zone, if this daemon is a host of the zone.
@@ -204,7 +207,7 @@
             fetched: None,
             proposals: BTreeMap::new(),
             waiters: BTreeMap::new(),
-            next_ticket: 1,
+            tickets: ticket::Sequence::open(setup.first_ticket),
             view: View::default(),
             endpoint_table: None,
             publisher,
--- a/crates/core/src/state/links.rs
+++ b/crates/core/src/state/links.rs
@@ -100,7 +100,7 @@
             }
             Body::Refresh(refresh) => self.record_refresh(now, from, &refresh, sent_after),
             Body::Forward(forward) => self.submit_forwarded(now, from, forward, effects),
-            Body::Answer(answer) => self.handle_answer(now, answer, effects),
+            Body::Answer(answer) => self.handle_answer(now, from, answer, effects),
             Body::Fetch(fetch) => self.send_entries(now, from, &fetch, effects),
             Body::FetchReply(reply) => self.apply_fetch_reply(now, from, reply, effects),
             Body::Suspect(suspect) => self.record_suspect(&suspect),
--- a/crates/core/src/state/logs.rs
+++ b/crates/core/src/state/logs.rs
@@ -1,6 +1,7 @@
 //! Replicas hosted by this daemon, the configuration log fetched from other daemons, and proposals.
 
 use prost::Message;
+use smallvec::SmallVec;
 
 use crate::clock::Instant;
 use crate::control::command::{
@@ -92,12 +93,23 @@
     /// The encoded command.
     command: Vec<u8>,
     purpose: Purpose,
+    /// Daemons to which the command was forwarded; only they can answer it.
+    asked: SmallVec<[Name; 2]>,
     /// When the command was last appended or forwarded.
     sent: Instant,
     /// When the proposal is abandoned with an unknown outcome.
     deadline: Instant,
 }
 
+impl Proposal {
+    /// Records that the command is forwarded to a daemon.
+    fn record_asked(&mut self, daemon: &Name) {
+        if !self.asked.contains(daemon) {
+            self.asked.push(daemon.clone());
+        }
+    }
+}
+
 /// What the outcome of a proposal is used for.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Purpose {
--- a/crates/core/src/state/logs/proposing.rs
+++ b/crates/core/src/state/logs/proposing.rs
@@ -1,9 +1,10 @@
 //! Proposals: commands are forwarded to the leader of a log, and their outcomes are sent back.
 
-use prost::Message;
-
 use std::time::Duration;
 
+use prost::Message;
+use smallvec::SmallVec;
+
 use crate::clock::Instant;
 use crate::control::command::{Body as CommandBody, Command, Outcome};
 use crate::count::Counter;
@@ -29,10 +30,11 @@
         effects: &mut Effects,
     ) -> u64 {
         let command = Command::new(command).encode_to_vec();
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
+        let ticket = self.tickets.draw();
+        let asked = SmallVec::new();
         let deadline = now + timeout;
-        self.proposals.insert(ticket, Proposal { log, command, purpose, sent: now, deadline });
+        let proposal = Proposal { log, command, purpose, asked, sent: now, deadline };
+        self.proposals.insert(ticket, proposal);
         self.submit(now, ticket, 0, effects);
         ticket
     }
@@ -61,6 +63,9 @@
             }
         }
         let Some(to) = self.next_hop(now, &log) else { return false };
+        if let Some(proposal) = self.proposals.get_mut(&ticket) {
+            proposal.record_asked(&to);
+        }
         let forward = Forward { ticket, log: log.to_string(), command, hops };
         effects.push(Effect::Send { to, body: Body::Forward(forward) });
         true
@@ -95,12 +100,12 @@
         forward: Forward,
         effects: &mut Effects,
     ) {
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
+        let ticket = self.tickets.draw();
         let proposal = Proposal {
             log: forward.log.into(),
             command: forward.command,
             purpose: Purpose::Forwarded { peer: from.clone(), ticket: forward.ticket },
+            asked: SmallVec::new(),
             sent: now,
             deadline: now + PROPOSAL_TIMEOUT,
         };
@@ -112,19 +117,23 @@
         }
     }
 
-    /// Handles the answer to a forwarded command. An outcome resolves its proposal. Without one, no
+    /// Handles the answer to a forwarded command. One of a daemon to which the command was not
+    /// forwarded is ignored: it belongs to another command. An outcome resolves its proposal. Without one, no
     /// leader accepted the command: the daemon that forwarded it here is told so, claims and trials
     /// fail, and all other commands are sent again later.
     pub(in crate::state) fn handle_answer(
         &mut self,
         now: Instant,
+        from: &Name,
         answer: message::Answer,
         effects: &mut Effects,
     ) {
-        let forwarded = self
-            .proposals
-            .get(&answer.ticket)
-            .is_some_and(|proposal| matches!(proposal.purpose, Purpose::Forwarded { .. }));
+        let proposal = self.proposals.get(&answer.ticket);
+        let Some(proposal) = proposal.filter(|proposal| proposal.asked.contains(from)) else {
+            self.count(Counter::AnswerIgnored, effects);
+            return;
+        };
+        let forwarded = matches!(proposal.purpose, Purpose::Forwarded { .. });
         if answer.outcome.is_some() || forwarded {
             self.resolve(now, answer.ticket, answer.outcome, effects);
             return;
--- a/crates/core/tests/system/world.rs
+++ b/crates/core/tests/system/world.rs
@@ -245,6 +245,7 @@
         Setup {
             daemon: node.name.as_str().into(),
             incarnation: self.now + node.epoch,
+            first_ticket: node.epoch << 32,
             zone: ZONES[node.zone].into(),
             zones: ZONES.iter().map(|zone| (*zone).into()).collect(),
             peers: peers.map(peer).collect(),
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -167,6 +167,7 @@
         Setup {
             daemon: settings.daemon.clone(),
             incarnation,
+            first_ticket: random_u64(),
             zone: settings.zone.clone(),
             zones: settings.zones.clone(),
             peers: peers
--- a/examples/measure/simulated.rs
+++ b/examples/measure/simulated.rs
@@ -69,6 +69,7 @@
         let setup = Setup {
             daemon: name,
             incarnation: 1_796_330_859_491,
+            first_ticket: 1,
             zone: "z".into(),
             zones: vec!["z".into()],
             peers: vec![Peer { daemon: "h".into(), zone: "z".into() }],
