--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -35,6 +35,8 @@
 mod relays;
 #[path = "platform/seeds.rs"]
 mod seeds;
+#[path = "platform/seeds_soak.rs"]
+mod seeds_soak;
 
 /// Number of requests that one call of [`serve_all`] sends.
 const REQUESTS: usize = 40;
--- a/tests/platform/seeds.rs
+++ b/tests/platform/seeds.rs
@@ -5,9 +5,11 @@
 
 use std::net::SocketAddr;
 use std::process::Child;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use rustix::process::{kill_process, Pid, Signal};
 use tempfile::TempDir;
 
 use super::callers::send;
@@ -18,29 +20,38 @@
 const FIRST: [usize; 3] = [0, 1, 2];
 /// Control daemons that are added.
 const ADDED: [usize; 3] = [3, 4, 5];
-const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
+pub const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
 /// Time within which a control plane must be in order after a start.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for a response to a change that is put in the background.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Part of the log lines that list the voters.
 const VOTERS_EVENT: &str = r#""event":"voters""#;
 
 /// Six control daemons without endpoints; dropping it kills them.
-struct ControlPlane {
+pub struct ControlPlane {
     folder: TempDir,
     ips: Vec<String>,
     daemons: Vec<Option<Child>>,
+    /// Highest version that was put.
     last_version: u64,
+    /// Highest version that was acknowledged.
+    acknowledged: u64,
 }
 
+/// A change that is put in the background: its version, and whether it was acknowledged.
+pub type Change = JoinHandle<(u64, bool)>;
+
 impl ControlPlane {
     /// Starts three control daemons of this build, and adds three.
-    fn start(build: Build) -> ControlPlane {
+    pub fn start(build: Build) -> ControlPlane {
         let mut plane = ControlPlane {
             folder: tempfile::tempdir().expect("a temporary folder can be created"),
             ips: unique_ips(ALL.len() as u64),
             daemons: ALL.iter().map(|_| None).collect(),
             last_version: 0,
+            acknowledged: 0,
         };
         for index in FIRST {
             plane.start_daemon(build, index, &FIRST, true);
@@ -53,28 +64,29 @@
         plane
     }
 
-    fn start_daemon(&mut self, build: Build, index: usize, seeds: &[usize], bootstrap: bool) {
+    /// Starts a daemon whose settings name these seeds.
+    pub fn start_daemon(&mut self, build: Build, index: usize, seeds: &[usize], bootstrap: bool) {
         let seeds: Vec<SocketAddr> = seeds.iter().map(|seed| self.control_address(*seed)).collect();
         let settings = Settings { ip: &self.ips[index], control: true, seeds: &seeds, bootstrap };
         self.daemons[index] = Some(daemon::spawn(build, self.folder.path(), &settings));
     }
 
     /// Kills all of these daemons, and starts them with these seeds.
-    fn restart(&mut self, build: Build, indices: &[usize], seeds: &[usize]) {
+    pub fn restart(&mut self, build: Build, indices: &[usize], seeds: &[usize]) {
         self.kill(indices);
         for index in indices {
             self.start_daemon(build, *index, seeds, false);
         }
     }
 
-    fn kill(&mut self, indices: &[usize]) {
+    pub fn kill(&mut self, indices: &[usize]) {
         for index in indices {
             daemon::kill(&mut self.daemons[*index]);
         }
     }
 
     /// Removes the data of a daemon that was killed.
-    fn empty_disk(&self, index: usize) {
+    pub fn empty_disk(&self, index: usize) {
         let folder = daemon::data_folder(self.folder.path(), &self.ips[index]);
         std::fs::remove_dir_all(folder).expect("the daemon has stored data");
     }
@@ -83,32 +95,81 @@
         address(&self.ips[index], PORTS.control)
     }
 
-    /// Checks that all running daemons return the newest document, that a newer one is accepted, and
-    /// that all return that one.
-    fn check(&mut self) {
-        if self.last_version > 0 {
-            self.check_version();
+    /// Suspends daemons.
+    pub fn freeze(&self, indices: &[usize]) {
+        self.signal(indices, Signal::STOP);
+    }
+
+    /// Ends the suspension of daemons.
+    pub fn resume(&self, indices: &[usize]) {
+        self.signal(indices, Signal::CONT);
+    }
+
+    fn signal(&self, indices: &[usize], signal: Signal) {
+        for index in indices {
+            let daemon = self.daemons[*index].as_ref().expect("the daemon runs");
+            let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
+            kill_process(pid.expect("a valid process id"), signal).expect("the daemon runs");
         }
+    }
+
+    /// Puts a newer document at a daemon from another thread, again until there is a response.
+    pub fn put_in_background(&mut self, index: usize) -> Change {
         self.last_version += 1;
-        let body = document(self.last_version, 0).to_string();
-        let accepts = |index: usize| {
-            let reply = send(self.control_address(index), "POST", "/Config.Put", "", &body);
-            reply.is_some_and(|reply| reply.status == 200)
-        };
+        let (version, address) = (self.last_version, self.control_address(index));
+        std::thread::spawn(move || {
+            let end = Instant::now() + CHANGE_TIMEOUT;
+            while Instant::now() < end {
+                if let Some(accepted) = put(address, version) {
+                    return (version, accepted);
+                }
+            }
+            (version, false)
+        })
+    }
+
+    /// Waits for the outcomes of changes.
+    pub fn await_changes<Changes>(&mut self, changes: Changes)
+    where
+        Changes: IntoIterator<Item = Change>,
+    {
+        for change in changes {
+            let (version, accepted) = change.join().expect("no panic");
+            if accepted {
+                self.acknowledged = self.acknowledged.max(version);
+            }
+        }
+    }
+
+    /// Checks that no running daemon returns an older document than was acknowledged, that a newer one is
+    /// accepted, and that all return that one.
+    pub fn check(&mut self) {
+        self.check_version();
+        self.last_version += 1;
+        let version = self.last_version;
+        let accepts = |index: usize| put(self.control_address(index), version) == Some(true);
         let accepted = self.poll(|plane| plane.running().into_iter().any(accepts));
-        assert!(accepted, "version {} was not accepted", self.last_version);
+        assert!(accepted, "version {version} was not accepted");
+        self.acknowledged = version;
         self.check_version();
     }
 
+    /// Checks that all running daemons return the document that was acknowledged last, or one that was put
+    /// later.
     fn check_version(&self) {
+        if self.acknowledged == 0 {
+            return;
+        }
+        let allowed = self.acknowledged..=self.last_version;
         for index in self.running() {
             let mut newest = None;
             let read = self.poll(|plane| {
-                newest = plane.read_version(index);
-                newest == Some(self.last_version)
+                newest = plane.read_version(index).or(newest);
+                newest.is_some()
             });
-            let version = self.last_version;
-            assert!(read, "daemon {index} returns {newest:?} in place of version {version}");
+            assert!(read, "daemon {index} returns no document");
+            let is_allowed = newest.is_some_and(|newest| allowed.contains(&newest));
+            assert!(is_allowed, "daemon {index} returns {newest:?}, allowed are {allowed:?}");
         }
     }
 
@@ -144,6 +205,14 @@
     }
 }
 
+/// Puts a document with this version at a control daemon. Returns whether it is acknowledged, none if
+/// there is no response.
+fn put(control: SocketAddr, version: u64) -> Option<bool> {
+    let body = document(version, 0).to_string();
+    let reply = send(control, "POST", "/Config.Put", "", &body)?;
+    Some(reply.status == 200)
+}
+
 impl Drop for ControlPlane {
     fn drop(&mut self) {
         daemon::print_logs(self.folder.path(), &self.ips);
