Tests: the simulated engine and the service of the control daemons' simulation are files of their own

Cause: crates/fleet/tests/control/cluster.rs had 807 lines, with the engine's protocol inside the cluster's methods.

Change: engine.rs and service.rs; the engine executes orders and advances itself, the cluster checks the invariants. No check has changed.

--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -13,120 +13,22 @@
 use dotterelhoist_core::replica::message::Voter;
 use dotterelhoist_core::replica::{Identity, Stored};
 use dotterelhoist_fleet::control::planner::Times;
-use dotterelhoist_fleet::control::{Answer, Effect, Event, Reader, Setup, State};
-use dotterelhoist_fleet::document::{
-    Document, Draft, Engine as EngineModel, Finding, Model, Service,
-};
-use dotterelhoist_fleet::endpoint::{Heartbeat, Membership, Stage};
+use dotterelhoist_fleet::control::{Answer, Effect, Event, Setup, State};
+use dotterelhoist_fleet::endpoint::Stage;
 use dotterelhoist_fleet::message::{Body, Fetch, Hello, Reply, Report};
 use dotterelhoist_fleet::order::{Order, Outcome, Task};
 use dotterelhoist_fleet::patch::Patch;
 use dotterelhoist_fleet::probe;
 use dotterelhoist_fleet::Name;
 
+use crate::engine::Engine;
+use crate::service::{Shape, VersionReader, COLD_LOAD};
+
 pub const STEP: Duration = Duration::from_millis(25);
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(4000);
-const WARM_LOAD: Duration = Duration::from_millis(1500);
-const COLD_LOAD: Duration = Duration::from_millis(12_000);
 /// Time after which a probe of a silent engine ends without an answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-pub const LARGE: &str = "large";
-pub const SMALL: &str = "small";
-
-/// Size of a deployment.
-#[derive(Clone, Copy, Debug)]
-pub struct Shape {
-    /// Fabric domains.
-    pub domains: usize,
-    /// Endpoints in each domain.
-    pub endpoints: usize,
-    /// Members of a group of the larger model.
-    pub large: usize,
-    /// Members of a group of the smaller model.
-    pub small: usize,
-}
-
-impl Default for Shape {
-    fn default() -> Shape {
-        Shape { domains: 1, endpoints: 8, large: 4, small: 2 }
-    }
-}
-
-/// Reads documents whose body is only a version number; any other text is malformed.
-#[derive(Clone, Debug)]
-pub struct VersionReader {
-    shape: Shape,
-    /// Number of documents that were read.
-    reads: Rc<Cell<usize>>,
-}
-
-impl Reader for VersionReader {
-    fn read(&self, bytes: &[u8]) -> Result<Document, Vec<Finding>> {
-        self.reads.set(self.reads.get() + 1);
-        let text = String::from_utf8_lossy(bytes);
-        let Ok(version) = text.parse() else {
-            let place = "version".to_owned();
-            return Err(vec![Finding::Malformed { place, detail: text.into_owned() }]);
-        };
-        Document::build(Draft { version, services: vec![service(self.shape)], ..Draft::default() })
-    }
-}
-
-fn service(shape: Shape) -> Service {
-    let model = |name: &str, size, share, time_factor| Model {
-        name: name.into(),
-        size,
-        share,
-        time_factor,
-        cold_load: COLD_LOAD,
-        warm_load: WARM_LOAD,
-    };
-    let engine = EngineModel {
-        slots: 26,
-        models: vec![model(LARGE, shape.large, 0.67, 1.0), model(SMALL, shape.small, 0.33, 0.6)],
-        step_ms: 6.0,
-        per_sequence_ms: 0.24,
-        prompt_tokens_per_s: 46_000.0,
-        loads_per_s: 4.0,
-        loads_at_once: 6,
-        typical_prompt_tokens: 1000.0,
-        typical_output_tokens: 100.0,
-    };
-    Service { name: "llm".into(), max_connections: 100, engine: Some(engine) }
-}
-
-/// A simulated model engine, which is one endpoint.
-#[derive(Debug)]
-pub struct Engine {
-    pub id: Name,
-    domain: String,
-    started_unix_ms: u64,
-    sequence: u64,
-    /// Whether its process has terminated.
-    pub dead: bool,
-    /// Whether it is partitioned from the control daemons; connections to it are reset.
-    pub partitioned: bool,
-    /// Whether it makes no progress and answers nothing; connections to it are accepted.
-    pub silent: bool,
-    /// Whether it makes no progress, sends no heartbeats and answers probes with an error.
-    pub answers_errors: bool,
-    pub membership: Option<Membership>,
-    members: Vec<Name>,
-    /// When the model is loaded; for an open head, when its group was last complete.
-    ready_at: Instant,
-    /// Model of the last group that it joined since its start, which is still in memory.
-    last_served: Option<String>,
-    /// Model whose weights are on its VM.
-    staged: Option<String>,
-    /// Model that its VM is copying from the weight store, and when that is done.
-    copying: Option<(String, Instant)>,
-    heartbeat_due: Instant,
-    /// Highest epoch of an order to join.
-    highest_epoch: u64,
-    /// When its process terminates after it has deregistered.
-    stops_at: Option<Instant>,
-}
 
 pub struct Cluster {
     shape: Shape,
@@ -229,27 +131,8 @@
     }
 
     fn add_engine(&mut self, at: usize, domain: &str) {
-        let id: Name = format!("e{at:02}").into();
-        let engine = Engine {
-            id: id.clone(),
-            domain: domain.to_owned(),
-            started_unix_ms: 1,
-            sequence: 0,
-            dead: false,
-            partitioned: false,
-            silent: false,
-            answers_errors: false,
-            membership: None,
-            members: Vec::new(),
-            ready_at: self.now,
-            last_served: None,
-            staged: None,
-            copying: None,
-            heartbeat_due: self.now + Duration::from_millis(at as u64 * 25),
-            highest_epoch: 0,
-            stops_at: None,
-        };
-        self.engines.insert(id, engine);
+        let engine = Engine::open(at, domain, self.now);
+        self.engines.insert(engine.id.clone(), engine);
     }
 
     /// Starts a control daemon from the contents of its disk, and connects two entry daemons to it:
@@ -582,83 +465,22 @@
     }
 
     fn execute(&mut self, order: &Order) -> Outcome {
-        let now = self.now;
         let load_time = if self.traffic { COLD_LOAD } else { COLD_LOAD / 10 };
         self.check_join(order);
+        let now = self.now;
         let Some(engine) = self.engines.get_mut(&order.endpoint) else { return Outcome::Refused };
-        if engine.dead {
-            return Outcome::Unanswered;
+        let outcome = engine.execute(&order.task, now, load_time);
+        if let (Task::Open { group, epoch }, Outcome::Taken) = (&order.task, &outcome) {
+            self.check_open(&order.endpoint, group, *epoch);
         }
-        let is_member = |group: &Name, epoch: u64| {
-            engine
-                .membership
-                .as_ref()
-                .is_some_and(|membership| *membership.group == **group && membership.epoch == epoch)
-        };
-        match &order.task {
-            Task::Join { group, epoch, model, members } => {
-                if *epoch < engine.highest_epoch {
-                    return Outcome::Outdated;
-                }
-                if is_member(group, *epoch) {
-                    return Outcome::Done;
-                }
-                engine.highest_epoch = *epoch;
-                let warm = engine.staged.as_deref() == Some(model);
-                let span = match engine.last_served.as_deref() {
-                    Some(served) if served == &**model => Duration::from_millis(200),
-                    _ if warm => WARM_LOAD,
-                    _ => load_time,
-                };
-                engine.ready_at = now + span;
-                engine.staged = Some(model.to_string());
-                engine.last_served = Some(model.to_string());
-                engine.members = members.to_vec();
-                engine.membership = Some(Membership {
-                    group: group.to_string(),
-                    epoch: *epoch,
-                    stage: Stage::Joining as i32,
-                });
-                engine.heartbeat_due = now;
-                Outcome::Taken
-            }
-            Task::Open { group, epoch } => {
-                let ready = is_member(group, *epoch)
-                    && engine
-                        .membership
-                        .as_ref()
-                        .is_some_and(|membership| membership.stage() == Stage::Ready);
-                if !ready {
-                    return Outcome::Unfit;
-                }
-                let members = engine.members.clone();
-                let (group, epoch) = (group.to_string(), *epoch);
-                self.set_stage(&order.endpoint, Stage::Open);
-                for member in members {
-                    if !self.seen_ready.contains(&(member.clone(), group.clone(), epoch)) {
-                        self.violations.push(format!("{group} opened, {member} never ready"));
-                    }
-                }
-                Outcome::Taken
-            }
-            Task::Close { group, epoch, .. } => {
-                if !is_member(group, *epoch) {
-                    return Outcome::Unfit;
-                }
-                self.set_stage(&order.endpoint, Stage::Ready);
-                Outcome::Done
-            }
-            Task::Leave { group, epoch } => {
-                if !is_member(group, *epoch) {
-                    return Outcome::Unfit;
-                }
-                engine.membership = None;
-                engine.heartbeat_due = now;
-                Outcome::Done
-            }
-            Task::Stage { model } => {
-                engine.copying = Some((model.to_string(), now + load_time));
-                Outcome::Taken
+        outcome
+    }
+
+    /// Records a violation for each member of a group that is opened and has never been ready.
+    fn check_open(&mut self, head: &Name, group: &Name, epoch: u64) {
+        for member in &self.engines[head].members {
+            if !self.seen_ready.contains(&(member.clone(), group.to_string(), epoch)) {
+                self.violations.push(format!("{group} opened, {member} never ready"));
             }
         }
     }
@@ -685,15 +507,6 @@
         }
     }
 
-    fn set_stage(&mut self, id: &Name, stage: Stage) {
-        let now = self.now;
-        let Some(engine) = self.engines.get_mut(id) else { return };
-        if let Some(membership) = &mut engine.membership {
-            membership.stage = stage as i32;
-            engine.heartbeat_due = now;
-        }
-    }
-
     fn step_engines(&mut self) {
         let ids: Vec<Name> = self.engines.keys().cloned().collect();
         for id in ids {
@@ -705,45 +518,12 @@
         let now = self.now;
         let complete = self.is_group_complete(id);
         let Some(engine) = self.engines.get_mut(id) else { return };
-        if engine.stops_at.is_some_and(|at| now >= at) {
-            engine.dead = true;
-        }
-        if engine.dead || engine.silent || engine.answers_errors {
-            return;
-        }
-        if engine.copying.as_ref().is_some_and(|(_, done)| now >= *done) {
-            engine.staged = engine.copying.take().map(|(model, _)| model);
-            engine.heartbeat_due = now;
-        }
-        let mut ready = None;
-        if let Some(membership) = &mut engine.membership {
-            if membership.stage() == Stage::Joining && now >= engine.ready_at {
-                membership.stage = Stage::Ready as i32;
-                engine.heartbeat_due = now;
-            }
-            if membership.stage() == Stage::Ready {
-                ready = Some((id.clone(), membership.group.clone(), membership.epoch));
-            }
-            match membership.stage() {
-                Stage::Open if complete => engine.ready_at = now,
-                Stage::Open if now.since(engine.ready_at) > STALL_TIMEOUT => {
-                    membership.stage = Stage::Broken as i32;
-                    engine.heartbeat_due = now;
-                }
-                _ => {}
-            }
-        }
-        self.seen_ready.extend(ready);
-        let Some(engine) = self.engines.get_mut(id) else { return };
-        if now < engine.heartbeat_due || engine.partitioned || engine.stops_at.is_some() {
-            return;
-        }
-        engine.heartbeat_due = now + HEARTBEAT_INTERVAL;
-        engine.sequence += 1;
-        let heartbeat = Box::new(engine.heartbeat());
+        engine.step(now, complete);
+        self.seen_ready.extend(engine.ready_membership());
+        let Some(heartbeat) = engine.due_heartbeat(now) else { return };
         let names: Vec<Name> = self.daemons.keys().cloned().collect();
-        if let Some(daemon) = names.get(engine.sequence as usize % names.len().max(1)) {
-            self.inbox.push((daemon.clone(), Event::Heartbeat(heartbeat)));
+        if let Some(daemon) = names.get(heartbeat.sequence as usize % names.len().max(1)) {
+            self.inbox.push((daemon.clone(), Event::Heartbeat(Box::new(heartbeat))));
         }
     }
 
@@ -760,38 +540,6 @@
     }
 }
 
-impl Engine {
-    fn answer_probe(&self) -> probe::Outcome {
-        if self.partitioned {
-            return probe::Outcome::Refused;
-        }
-        if self.dead {
-            return probe::Outcome::Unanswered;
-        }
-        if self.answers_errors {
-            return probe::Outcome::Answered;
-        }
-        probe::Outcome::Report(Box::new(self.heartbeat()))
-    }
-
-    fn heartbeat(&self) -> Heartbeat {
-        Heartbeat {
-            id: self.id.to_string(),
-            service: "llm".into(),
-            address: format!("10.9.0.1:{}", self.id.trim_start_matches('e')),
-            zone: if self.domain == "d1" { "y".into() } else { "z".into() },
-            domain: self.domain.clone(),
-            started_unix_ms: self.started_unix_ms,
-            sequence: self.sequence,
-            slots: 26,
-            draining: false,
-            staged: self.staged.iter().cloned().collect(),
-            membership: self.membership.clone(),
-            gone: false,
-        }
-    }
-}
-
 pub fn daemon_names() -> Vec<Name> {
     ["10.0.0.1", "10.0.0.2", "10.0.0.3"].iter().map(|name| (*name).into()).collect()
 }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -8,9 +8,12 @@
 use rstest::rstest;
 
 mod cluster;
+mod engine;
 mod evidence;
+mod service;
 
-use self::cluster::{daemon_names, Cluster, Shape, STALL_TIMEOUT};
+use self::cluster::{daemon_names, Cluster, STALL_TIMEOUT};
+use self::service::Shape;
 
 const SECOND: Duration = Duration::from_secs(1);
 
