A full disk does not keep a daemon from starting on the folder of an older build

A control daemon that takes over the voters into the identity file of an older build would end if its disk refuses writes, which the older build doesn't. Full disks are one of the platform's disruptions, and builds run side by side.

Change: the write of a completed identity may fail; the voters hold in memory, the failure is logged (312), and the next start tries again. A new identity must still be stored. The own interface ends, as it does with any disk error.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -140,7 +140,11 @@
             bootstrap: self.bootstrap,
             initial_voters: &initial_voters,
         };
-        Files::open(&path, setup, random_u64()).map(Some).map_err(Error::Files)
+        let mut files = Files::open(&path, setup, random_u64()).map_err(Error::Files)?;
+        match files.unstored.take() {
+            Some(error) => Err(Error::Files(error)),
+            None => Ok(Some(files)),
+        }
     }
 
     /// Identity and stored state of this daemon's replica of a log. A replica of another zone's
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -146,6 +146,9 @@
     let mut effects = Vec::new();
     let detail = format!("role=control replica={replica} entries={}", files.stored.entries.len());
     journal::write(&log_events::Event::new(200, "started", &*daemon, detail));
+    if let Some(error) = files.unstored {
+        journal::write(&log_events::Event::new(312, "disk error", &*daemon, error.to_string()));
+    }
     let zone = config.setup.zone.to_string();
     let protocol = config.protocol.clone();
     let now = clock::now();
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -81,8 +81,18 @@
     folder.join(IDENTITY_FILE).is_file()
 }
 
+/// An identity, and whether it could be completed.
+#[derive(Debug)]
+pub struct Opened {
+    /// Identity of the replica.
+    pub identity: Identity,
+    /// Why the initial voters could not be added to the file of an older build. The next start tries
+    /// again.
+    pub unstored: Option<Error>,
+}
+
 /// Reads the identity of a replica. An empty folder gets a new one, and the identity that an older
-/// build has written is completed.
+/// build has written is completed; for that alone, a disk that refuses writes is no error.
 ///
 /// # Errors
 ///
@@ -91,17 +101,18 @@
     disk: &mut Backend,
     setup: Setup<'_>,
     random_number: u64,
-) -> Result<Identity, Error>
+) -> Result<Opened, Error>
 where
     Backend: Disk,
 {
-    let stored = read(disk)?;
-    let is_new = stored.is_none();
-    let mut identity = stored.unwrap_or_else(|| Identity::create(setup, random_number));
-    if identity.adopt_voters(setup) || is_new {
+    let Some(mut identity) = read(disk)? else {
+        let identity = Identity::create(setup, random_number);
         write(disk, &identity)?;
-    }
-    Ok(identity)
+        return Ok(Opened { identity, unstored: None });
+    };
+    let adopted = identity.adopt_voters(setup);
+    let unstored = if adopted { write(disk, &identity).err() } else { None };
+    Ok(Opened { identity, unstored })
 }
 
 /// Reads the identity; `None` if the folder has none.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -131,6 +131,8 @@
     pub identity: Identity,
     /// State that the files held when they were opened.
     pub stored: Stored,
+    /// As in [`identity::Opened::unstored`].
+    pub unstored: Option<Error>,
 }
 
 impl Files {
@@ -146,9 +148,10 @@
         random_number: u64,
     ) -> Result<Files, Error> {
         let mut folder = Folder::open(path)?;
-        let identity = identity::open(&mut folder, setup, random_number)?;
+        let identity::Opened { identity, unstored } =
+            identity::open(&mut folder, setup, random_number)?;
         let (store, stored) = Store::open(folder)?;
         let stored = Stored { initial_voters: identity.initial_voters.clone(), ..stored };
-        Ok(Files { store, identity, stored })
+        Ok(Files { store, identity, stored, unstored })
     }
 }
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -316,7 +316,9 @@
     let initial_voters: Vec<Voter> = voters(named);
     let setup = identity::Setup { daemon: "a", bootstrap, initial_voters: &initial_voters };
     let mut disk = Folder::open(folder).expect("a folder");
-    identity::open(&mut disk, setup, 31).expect("a healthy disk")
+    let opened = identity::open(&mut disk, setup, 31).expect("a healthy disk");
+    assert!(opened.unstored.is_none(), "{:?}", opened.unstored);
+    opened.identity
 }
 
 fn voters(daemons: &[&str]) -> Vec<Voter> {
@@ -366,3 +368,18 @@
         assert_eq!(open_identity(folder.path(), false, &["a", "e", "f"]), opened);
     }
 }
+
+/// A full disk must not keep a daemon from starting on the folder of an older build.
+#[rstest]
+fn identity_of_an_older_build_on_a_full_disk_gets_the_voters_in_memory(
+    #[values(0, 1, 2, 3)] writes: usize,
+) {
+    // Besides the writes that succeed: the file of the older build is created and read.
+    let mut disk = FaultyDisk::new(writes + 2, 0);
+    disk.create("identity", br#"{"daemon":"a","number":0}"#).expect("a healthy disk");
+    let known = voters(&["a", "b", "c"]);
+    let setup = identity::Setup { daemon: "a", bootstrap: false, initial_voters: &known };
+    let opened = identity::open(&mut disk, setup, 31).expect("nothing has to be written");
+    assert_eq!(opened.identity.initial_voters, known);
+    assert!(opened.unstored.is_some());
+}
