An endpoint is free only if the log and its own report agree

Callers of the old group are cut off by it, and a member would have served in two groups.

Cause: the planner took an endpoint as free if the log had no group with it. Orders that were not answered may be carried out seconds later; the head then joins its old group and opens it, and says so in its heartbeats, which were not looked at. Traced with lines 231 and 242: the open head is proposed as a member 4.5 s after it opened again. That the heartbeat was lost, or that orders were sent after the removal, is ruled out by the same lines.

Change: planner/vacancy.rs alone decides which endpoints are free. Groups that endpoints report and the log does not have are closed and left in order, with the leader's fencing number and their own epoch, and bind their members until then (planner/stray.rs, lines 245 to 248). A head that leaves with orders outstanding is ordered to join a standby group in a higher epoch first, so that it refuses them by itself. Confirmed leaves are void once the member reports the group again; answers to orders go before older heartbeats and lagging probe reports. Members state their rank (field 4 of Membership, optional).

Tests of fleet and platform pass.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -431,7 +431,7 @@
             self.leadership.term == term && now.since(self.leadership.ended) < LEASE_LAPSE_MAX;
         self.leadership.term = term;
         if !only_lapsed {
-            self.planner.reset(now);
+            self.planner.reset(now, self.replica.applied());
         }
     }
 
@@ -470,11 +470,7 @@
             probe::Outcome::Refused => true,
             probe::Outcome::Unanswered => false,
             probe::Outcome::Answered => return endpoint.record_answer(now),
-            probe::Outcome::Report(heartbeat) => {
-                endpoint.heartbeat.membership = heartbeat.membership;
-                endpoint.heartbeat.staged = heartbeat.staged;
-                return endpoint.record_answer(now);
-            }
+            probe::Outcome::Report(report) => return endpoint.record_report(now, *report),
         };
         let since = self.reachability.reachable_since(&endpoint.heartbeat.zone);
         if endpoint.record_failure(now, since, refused) {
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -8,7 +8,7 @@
 
 use dotterelhoist_core::clock::Instant;
 
-use crate::endpoint::{Heartbeat, Stage};
+use crate::endpoint::{Heartbeat, Membership, Stage};
 use crate::Name;
 
 /// Time since an endpoint was last seen after which it is removed from the table.
@@ -23,6 +23,34 @@
 /// pause for a second or so, and the first probe has waited for its answer before.
 const SILENCE_MAX: Duration = Duration::from_millis(1200);
 
+/// Time after an endpoint has left a group in which a heartbeat that names the group was sent before.
+/// An endpoint that joins again needs longer until it can serve.
+const DEPARTURE_SETTLE_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which what an endpoint has said itself about its group goes before the answer to a probe,
+/// which may describe a state of some hundred milliseconds before.
+const REPORT_LAG_MAX: Duration = Duration::from_secs(1);
+
+/// That an endpoint has left a group.
+#[derive(Clone, Debug)]
+struct Departure {
+    /// Name of the group.
+    group: Name,
+    /// Generation of the group.
+    epoch: u64,
+    /// When it said so.
+    at: Instant,
+    /// Whether a heartbeat since has said so too.
+    confirmed: bool,
+}
+
+impl Departure {
+    /// Whether this is the group that it has left.
+    fn is_from(&self, membership: &Membership) -> bool {
+        membership.is_in(&self.group, self.epoch)
+    }
+}
+
 /// A period in which an endpoint has not responded. It is a suspicion, which keeps new work away
 /// from the endpoint, until [`Outage::is_failure`].
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +86,13 @@
     /// Whether another endpoint has started at its address, which proves that it has terminated. A
     /// refused connection is no proof, as a network partition may reset connections.
     pub confirmed_dead: bool,
+    /// The group that it has last left by an order of this daemon.
+    departure: Option<Departure>,
+    /// Highest generation that it has joined by an order of this daemon; it can't be in a lower one
+    /// any more.
+    joined_epoch: u64,
+    /// When it last said in which group it is, by a heartbeat or by the answer to an order.
+    told_at: Instant,
 }
 
 /// All endpoints by identity.
@@ -79,10 +114,15 @@
             endpoint.heartbeat = heartbeat;
             endpoint.last_seen = endpoint.last_seen.max(last_seen);
             endpoint.outage = None;
+            endpoint.told_at = endpoint.told_at.max(last_seen);
             if restarted {
                 endpoint.last_served = None;
                 endpoint.confirmed_dead = false;
+                endpoint.departure = None;
+                endpoint.joined_epoch = 0;
             }
+            endpoint.confirm_departure(last_seen);
+            endpoint.discard_outdated_membership(last_seen);
             return true;
         }
         let same_address = |other: &Endpoint| other.heartbeat.address == heartbeat.address;
@@ -101,6 +141,9 @@
             outage: None,
             last_served: None,
             confirmed_dead: false,
+            departure: None,
+            joined_epoch: 0,
+            told_at: last_seen,
         };
         self.endpoints.insert(id, endpoint);
         true
@@ -187,6 +230,66 @@
         current.is_none()
     }
 
+    /// Records that it has carried out an order to join this generation of a group.
+    pub fn record_join(&mut self, now: Instant, epoch: u64) {
+        self.joined_epoch = self.joined_epoch.max(epoch);
+        self.told_at = now;
+        self.discard_outdated_membership(now);
+    }
+
+    /// Records its answer that it is not, or no longer, in this generation of a group.
+    pub fn record_leave(&mut self, now: Instant, group: &Name, epoch: u64) {
+        let group = group.clone();
+        self.departure = Some(Departure { group, epoch, at: now, confirmed: false });
+        self.told_at = now;
+        self.discard_outdated_membership(now);
+    }
+
+    /// Records its report, with which it has answered a probe.
+    pub fn record_report(&mut self, now: Instant, report: Heartbeat) {
+        let same_incarnation = report.started_unix_ms == self.heartbeat.started_unix_ms;
+        if same_incarnation && now.since(self.told_at) >= REPORT_LAG_MAX {
+            self.heartbeat.membership = report.membership;
+            self.discard_outdated_membership(now);
+        }
+        self.heartbeat.staged = report.staged;
+        self.record_answer(now);
+    }
+
+    /// Group that it reports, unless that is a standby group that does not serve.
+    pub fn reported_group(&self) -> Option<&Membership> {
+        let membership = self.heartbeat.membership.as_ref()?;
+        let idle = matches!(membership.stage(), Stage::Joining | Stage::Ready);
+        let is_standby = idle && membership.group.starts_with(STANDBY_PREFIX);
+        (!is_standby).then_some(membership)
+    }
+
+    /// Whether its heartbeats agree with its answer that it has left a group.
+    pub fn has_confirmed_departure(&self) -> bool {
+        self.departure.as_ref().is_none_or(|departure| departure.confirmed)
+    }
+
+    /// Discards the membership of its newest heartbeat or report, seen at this time, if that is older
+    /// than what it has answered to an order.
+    fn discard_outdated_membership(&mut self, seen_at: Instant) {
+        let Some(membership) = &self.heartbeat.membership else { return };
+        let has_left = self.departure.as_ref().is_some_and(|departure| {
+            departure.is_from(membership) && seen_at.since(departure.at) < DEPARTURE_SETTLE_TIME
+        });
+        if has_left || membership.epoch < self.joined_epoch {
+            self.heartbeat.membership = None;
+        }
+    }
+
+    /// Records whether its newest heartbeat, seen at this time, agrees that it has left a group.
+    fn confirm_departure(&mut self, seen_at: Instant) {
+        let membership = self.heartbeat.membership.as_ref();
+        if let Some(departure) = &mut self.departure {
+            let left = membership.is_none_or(|membership| !departure.is_from(membership));
+            departure.confirmed |= left && seen_at > departure.at;
+        }
+    }
+
     /// Model that it has in memory, so that it can serve it again soonest: that of the standby group
     /// in which it is ready, or else that of the last group in which it was seen ready.
     pub fn model_in_memory(&self) -> Option<&str> {
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -11,6 +11,8 @@
 //!   which frees its members. If the head does not respond, the other members are ordered to leave
 //!   instead: without them the head makes no progress and reports itself broken within the stall
 //!   timeout, after which the members are free.
+//! * A group that endpoints report and that the log does not have, because an order was carried out
+//!   late, is closed and left in the same way; its members are not free until then ([`stray`]).
 //! * VMs of free endpoints, and of members of groups, are ordered to copy the weights of models
 //!   that their endpoints may need next ([`staging`]). Free endpoints are ordered to load a model
 //!   into memory ([`standby`]).
@@ -37,8 +39,10 @@
 pub mod forming;
 pub mod staging;
 mod standby;
+mod stray;
 mod summary;
 mod targets;
+mod vacancy;
 
 /// Time after which an order to an endpoint or a proposed change is repeated if it has had no
 /// effect.
@@ -119,16 +123,33 @@
     Stage,
     /// Join a standby group, which is not in the log.
     Standby,
+    /// Join a standby group after leaving the group, so that no earlier order takes effect any more.
+    Seal,
+}
+
+/// A group in one generation.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Generation {
+    group: Name,
+    epoch: u64,
+}
+
+impl Generation {
+    fn of(group: &Group) -> Generation {
+        Generation { group: group.name.as_str().into(), epoch: group.epoch }
+    }
 }
 
 /// An order whose outcome is not yet known.
 #[derive(Clone, Debug)]
 struct PendingOrder {
-    /// Group that it concerns; empty for [`Purpose::Stage`], not in the log for
+    /// Group that it concerns; none for [`Purpose::Stage`], not in the log for
     /// [`Purpose::Standby`].
-    group: Name,
+    group: Option<Generation>,
     endpoint: Name,
     purpose: Purpose,
+    /// Generation that it orders the endpoint to join, if it does.
+    joins: Option<u64>,
 }
 
 /// What the leader keeps in memory about a group.
@@ -145,6 +166,12 @@
     /// Whether the head has confirmed that it takes no new requests, or the removal of the group
     /// was proposed.
     closed: bool,
+    /// Whether orders to the head may still be carried out late: one to join or to open was not
+    /// answered, or was given by an earlier leader.
+    may_reopen: bool,
+    /// Whether the head has seen a later generation since it left, so that no order from before makes
+    /// it join or open again.
+    sealed: bool,
     /// Whether a member has rejected the order to join as outdated, or another endpoint listens at
     /// its address; the group can then never become ready.
     join_rejected: bool,
@@ -163,9 +190,13 @@
     next_ticket: u64,
     /// When this daemon became leader.
     leading_since: Instant,
+    /// Index of the last log entry that was applied when this daemon became leader.
+    leading_from: u64,
     /// Orders whose outcome is not yet known, by ticket.
     pending_orders: BTreeMap<u64, PendingOrder>,
-    groups: BTreeMap<Name, GroupState>,
+    groups: BTreeMap<Generation, GroupState>,
+    /// Groups that endpoints report and the log does not have.
+    strays: stray::Strays,
     /// When endpoints were last probed; entries older than [`PROBE_INTERVAL`] are removed.
     probed_at: BTreeMap<Name, Instant>,
     /// Members of groups that were proposed to the log and may not be applied yet, and when they
@@ -194,8 +225,10 @@
             times,
             next_ticket: 1,
             leading_since: Instant::default(),
+            leading_from: 0,
             pending_orders: BTreeMap::new(),
             groups: BTreeMap::new(),
+            strays: stray::Strays::default(),
             probed_at: BTreeMap::new(),
             proposed_members: BTreeMap::new(),
             load_limiter: staging::LoadLimiter::default(),
@@ -208,12 +241,14 @@
         }
     }
 
-    /// Discards the state from an earlier period as leader.
-    pub fn reset(&mut self, now: Instant) {
+    /// Discards the state from an earlier period as leader. `applied` is the index of the last log
+    /// entry that is applied.
+    pub fn reset(&mut self, now: Instant, applied: u64) {
         let next_ticket = self.next_ticket;
         *self = Planner::new(self.times);
         self.next_ticket = next_ticket;
         self.leading_since = now;
+        self.leading_from = applied;
         self.load_limiter.reset(now);
     }
 
@@ -226,9 +261,11 @@
     ) {
         let is_new_leader = inputs.now.since(self.leading_since) < self.times.loss_timeout();
         self.probe_members(inputs, effects);
-        let names: BTreeSet<Name> =
-            inputs.state_machine.groups.keys().map(|name| name.as_str().into()).collect();
-        self.groups.retain(|name, _| names.contains(name));
+        let strays = stray::find(inputs);
+        let groups = inputs.state_machine.groups.values().chain(&strays);
+        let generations: BTreeSet<Generation> = groups.map(Generation::of).collect();
+        self.groups.retain(|generation, _| generations.contains(generation));
+        self.release_strays(inputs, &strays, effects);
         for group in inputs.state_machine.groups.values() {
             if group.dissolving {
                 self.dissolve_group(inputs, group, changes, effects);
@@ -253,16 +290,30 @@
     ) {
         let Some(pending) = self.pending_orders.remove(&ticket) else { return };
         let id = &pending.endpoint;
-        let detail = format!("{:?} group={} outcome={outcome}", pending.purpose, pending.group);
+        let group = pending.group.as_ref().map_or("", |generation| &*generation.group);
+        let detail = format!("{:?} group={group} outcome={outcome}", pending.purpose);
         effects.push(Effect::Log(journal::Event::new(231, "order ended", &**id, detail)));
         if outcome == Outcome::Refused {
             if let Some(endpoint) = endpoints.find_mut(id) {
                 endpoint.record_failure(now, Instant::default(), true);
             }
         }
-        let Some(state) = self.groups.get_mut(&pending.group) else { return };
+        let Some(generation) = &pending.group else { return };
+        let definite = !matches!(outcome, Outcome::Unanswered | Outcome::Refused);
+        if let Some(endpoint) = endpoints.find_mut(id) {
+            match (pending.joins, outcome) {
+                (Some(epoch), Outcome::Taken | Outcome::Done) => endpoint.record_join(now, epoch),
+                (None, _) if pending.purpose == Purpose::Leave && definite => {
+                    endpoint.record_leave(now, &generation.group, generation.epoch);
+                }
+                _ => {}
+            }
+        }
+        let Some(state) = self.groups.get_mut(generation) else { return };
         match (pending.purpose, outcome) {
             (Purpose::Join, Outcome::Outdated | Outcome::Misdirected) => state.join_rejected = true,
+            (Purpose::Join | Purpose::Open, Outcome::Unanswered) => state.may_reopen = true,
+            (Purpose::Seal, _) => state.sealed |= definite,
             (Purpose::Close, Outcome::Done | Outcome::Unfit | Outcome::Misdirected) => {
                 state.closed = true;
             }
@@ -323,7 +374,7 @@
     ) {
         let now = inputs.now;
         let name: Name = group.name.as_str().into();
-        self.groups.entry(name.clone()).or_insert_with(|| GroupState::new(now));
+        self.state_of(now, group);
         if let Some(reason) = self.find_dissolution_reason(inputs, group, is_new_leader) {
             self.propose_dissolution(now, group, reason, changes, effects);
             return;
@@ -343,16 +394,14 @@
             }
         }
         if stages.first().is_some_and(|stage| matches!(stage, Some(Stage::Open))) {
-            if let Some(state) = self.groups.get_mut(&name) {
-                state.opened = true;
-            }
+            self.state_of(now, group).opened = true;
             return;
         }
         let ready = stages.iter().all(|stage| matches!(stage, Some(Stage::Ready)));
         if ready {
             if let Some(head) = group.head() {
                 let task = Task::Open { group: name.clone(), epoch: group.epoch };
-                self.order_member(inputs, &name, head, Purpose::Open, task, effects);
+                self.order_member(inputs, group, head, Purpose::Open, task, effects);
             }
             return;
         }
@@ -360,7 +409,7 @@
             if stage.is_some() {
                 continue;
             }
-            if !self.may_join(inputs, group, member) {
+            if self.strays.bind(&member.id) || !self.may_join(inputs, group, member) {
                 continue;
             }
             let task = Task::Join {
@@ -369,7 +418,7 @@
                 model: group.model.as_str().into(),
                 members: group.member_ids(),
             };
-            self.order_member(inputs, &name, member, Purpose::Join, task, effects);
+            self.order_member(inputs, group, member, Purpose::Join, task, effects);
         }
     }
 
@@ -385,7 +434,7 @@
         let now = inputs.now;
         let head: Name = group.head()?.id.as_str().into();
         let makes_progress = makes_progress(inputs, &head);
-        let state = self.groups.get(&*group.name);
+        let state = self.groups.get(&Generation::of(group));
         if state.is_some_and(|state| state.join_rejected) {
             return Some(DissolutionReason::Failed);
         }
@@ -445,7 +494,7 @@
         changes: &mut Vec<Change>,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(state) = self.groups.get_mut(&*group.name) else { return };
+        let state = self.state_of(now, group);
         if state.proposed_at.is_some_and(|at| now.since(at) < ORDER_RETRY_INTERVAL) {
             return;
         }
@@ -462,7 +511,7 @@
     fn order_member(
         &mut self,
         inputs: &Inputs<'_>,
-        group: &Name,
+        group: &Group,
         member: &Member,
         purpose: Purpose,
         task: Task,
@@ -474,14 +523,16 @@
             return;
         }
         let key = (id.clone(), purpose.clone());
-        let Some(state) = self.groups.get_mut(group) else { return };
+        let state = self.state_of(inputs.now, group);
         if state.ordered_at.get(&key).is_some_and(|at| inputs.now.since(*at) < ORDER_RETRY_INTERVAL)
         {
             return;
         }
         state.ordered_at.insert(key, inputs.now);
         let address = endpoint.heartbeat.address.as_str().into();
-        let pending = PendingOrder { group: group.clone(), endpoint: id, purpose };
+        let joins = joined_epoch(&task);
+        let group = Some(Generation::of(group));
+        let pending = PendingOrder { group, endpoint: id, purpose, joins };
         self.send_order(inputs.term, pending, address, task, effects);
     }
 
@@ -501,6 +552,13 @@
         effects.push(Effect::Order(Order { ticket, endpoint, address, fencing, task }));
     }
 
+    /// What the leader remembers about a group.
+    fn state_of(&mut self, now: Instant, group: &Group) -> &mut GroupState {
+        let inherited = group.epoch <= self.leading_from;
+        let state = self.groups.entry(Generation::of(group));
+        state.or_insert_with(|| GroupState::new(now, inherited))
+    }
+
     /// Whether a member may be ordered to join now: it is warm for the model, callers have not sent
     /// requests yet, it was ordered before, or the load limiter permits another load from the
     /// weight store.
@@ -510,7 +568,8 @@
             return true;
         }
         let key = (member.id.as_str().into(), Purpose::Join);
-        let ordered = self.groups.get(&*group.name).and_then(|state| state.ordered_at.get(&key));
+        let state = self.groups.get(&Generation::of(group));
+        let ordered = state.and_then(|state| state.ordered_at.get(&key));
         if ordered.is_some() {
             return true;
         }
@@ -546,8 +605,12 @@
 }
 
 impl GroupState {
-    fn new(now: Instant) -> GroupState {
+    /// State of a group that is first seen now; `inherited` says whether an earlier leader may have
+    /// given orders for it.
+    fn new(now: Instant, inherited: bool) -> GroupState {
         GroupState {
+            may_reopen: inherited,
+            sealed: false,
             first_seen: now,
             ordered_at: BTreeMap::new(),
             left_at: BTreeMap::new(),
@@ -560,6 +623,14 @@
     }
 }
 
+/// Generation that a task orders an endpoint to join, if it does.
+fn joined_epoch(task: &Task) -> Option<u64> {
+    match task {
+        Task::Join { epoch, .. } => Some(*epoch),
+        Task::Open { .. } | Task::Close { .. } | Task::Leave { .. } | Task::Stage { .. } => None,
+    }
+}
+
 /// Whether entry daemons have recently seen a head make progress and have not suspected it since. A
 /// head makes progress only with all its members, so this shows that they are alive too.
 fn makes_progress(inputs: &Inputs<'_>, head: &Name) -> bool {
--- a/crates/fleet/src/control/planner/converting.rs
+++ b/crates/fleet/src/control/planner/converting.rs
@@ -12,8 +12,9 @@
 
 use super::super::state_machine::{Change, Group, GroupDissolution};
 use super::super::Effect;
-use super::forming::{count_warm, domain_of, is_warm, releasing_domains, FreeEndpoints};
+use super::forming::releasing_domains;
 use super::targets::{demand_weight, load_per_group, Allocation, Counts};
+use super::vacancy::{count_warm, domain_of, is_warm, FreeEndpoints};
 use super::{Inputs, Planner};
 
 /// Minimum time between two conversions; a needed one waits until it has passed.
--- a/crates/fleet/src/control/planner/dissolving.rs
+++ b/crates/fleet/src/control/planner/dissolving.rs
@@ -4,47 +4,63 @@
 use std::time::Duration;
 
 use crate::endpoint::Stage;
+use crate::journal;
 use crate::order::Task;
 use crate::Name;
 
 use super::super::state_machine::{Change, Group, Member};
 use super::super::Effect;
+use super::standby::standby_task;
 use super::{
-    GroupState, Inputs, Planner, Purpose, GRACEFUL_CLOSE_TIMEOUT, HEAD_RELEASE_TIMEOUT,
+    Generation, Inputs, Planner, Purpose, GRACEFUL_CLOSE_TIMEOUT, HEAD_RELEASE_TIMEOUT,
     ORDER_RETRY_INTERVAL,
 };
 
+/// Time since a head has left for which it is ordered to join a later generation, which keeps earlier
+/// orders from taking effect. After it, the members are free all the same.
+const SEAL_TIMEOUT: Duration = Duration::from_secs(3);
+
 impl Planner {
     /// Orders the members of a dissolving group to close and leave, and proposes to remove the
     /// group once its head can no longer run requests.
     pub(super) fn dissolve_group(
         &mut self,
-        inputs: &mut Inputs<'_>,
+        inputs: &Inputs<'_>,
         group: &Group,
         changes: &mut Vec<Change>,
         effects: &mut Vec<Effect>,
     ) {
         let now = inputs.now;
-        let name: Name = group.name.as_str().into();
-        let state = self.groups.entry(name.clone()).or_insert_with(|| GroupState::new(now));
-        let dissolving_since = *state.dissolving_since.get_or_insert(now);
-        let Some(head) = group.head() else {
-            changes.push(Change::RemoveGroup(group.name.clone()));
+        if !self.release_group(inputs, group, group.graceful, effects) {
             return;
-        };
-        if self.is_released(inputs, group, head) {
-            let Some(state) = self.groups.get_mut(&name) else { return };
-            if state.proposed_at.is_some_and(|at| now.since(at) < ORDER_RETRY_INTERVAL)
-                && state.closed
-            {
-                return;
-            }
-            state.closed = true;
-            state.proposed_at = Some(now);
-            changes.push(Change::RemoveGroup(group.name.clone()));
+        }
+        let state = self.state_of(now, group);
+        if state.proposed_at.is_some_and(|at| now.since(at) < ORDER_RETRY_INTERVAL) && state.closed
+        {
             return;
         }
-        let graceful = group.graceful && now.since(dissolving_since) < GRACEFUL_CLOSE_TIMEOUT;
+        state.closed = true;
+        state.proposed_at = Some(now);
+        changes.push(Change::RemoveGroup(group.name.clone()));
+    }
+
+    /// Orders the members of a group to close and leave. If `graceful` is set, running requests may
+    /// finish. Returns true once its head can no longer run requests, so that the members are free.
+    pub(super) fn release_group(
+        &mut self,
+        inputs: &Inputs<'_>,
+        group: &Group,
+        graceful: bool,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let now = inputs.now;
+        let Some(head) = group.head() else { return true };
+        let dissolving_since = *self.state_of(now, group).dissolving_since.get_or_insert(now);
+        self.forget_returned(inputs, group);
+        if self.is_released(inputs, group, head) {
+            return self.seal_head(inputs, group, head, effects);
+        }
+        let cancel = !graceful || now.since(dissolving_since) >= GRACEFUL_CLOSE_TIMEOUT;
         let progressed_at = inputs.progress.get(&*head.id).copied();
         let head_responds = inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
             let recently_seen = now.since(endpoint.last_seen) < self.times.loss_timeout()
@@ -52,42 +68,42 @@
             let failed = endpoint.outage.is_some_and(|outage| outage.is_failure(progressed_at));
             endpoint.heartbeat.started_unix_ms == head.started_unix_ms && !failed && recently_seen
         });
-        let head_timeout = if group.graceful {
-            GRACEFUL_CLOSE_TIMEOUT + HEAD_RELEASE_TIMEOUT
-        } else {
-            HEAD_RELEASE_TIMEOUT
+        let head_timeout = match graceful {
+            true => GRACEFUL_CLOSE_TIMEOUT + HEAD_RELEASE_TIMEOUT,
+            false => HEAD_RELEASE_TIMEOUT,
         };
         if head_responds {
-            self.release_head(inputs, group, head, !graceful, effects);
+            self.release_head(inputs, group, head, cancel, effects);
         }
         if head_responds && now.since(dissolving_since) < head_timeout {
-            return;
+            return false;
         }
         for member in group.members.iter().skip(1) {
             self.order_leave(inputs, group, member, effects);
         }
+        false
     }
 
     /// Orders the head to close if it may run requests, then to leave. If `cancel` is set, running
     /// requests are cancelled.
     fn release_head(
         &mut self,
-        inputs: &mut Inputs<'_>,
+        inputs: &Inputs<'_>,
         group: &Group,
         head: &Member,
         cancel: bool,
         effects: &mut Vec<Effect>,
     ) {
-        let name: Name = group.name.as_str().into();
         let stage = inputs
             .endpoints
             .find(&head.id)
             .and_then(|endpoint| endpoint.heartbeat.stage_in(&group.name, group.epoch));
-        let closed = self.groups.get(&name).is_some_and(|state| state.closed);
+        let closed = self.state_of(inputs.now, group).closed;
         let may_run_requests = matches!(stage, Some(Stage::Open | Stage::Closing));
         if may_run_requests && !closed {
-            let task = Task::Close { group: name.clone(), epoch: group.epoch, cancel };
-            self.order_member(inputs, &name, head, Purpose::Close, task, effects);
+            let name: Name = group.name.as_str().into();
+            let task = Task::Close { group: name, epoch: group.epoch, cancel };
+            self.order_member(inputs, group, head, Purpose::Close, task, effects);
             return;
         }
         self.order_leave(inputs, group, head, effects);
@@ -96,40 +112,80 @@
     /// Orders a member to leave the group, unless it has confirmed that it left.
     fn order_leave(
         &mut self,
-        inputs: &mut Inputs<'_>,
+        inputs: &Inputs<'_>,
         group: &Group,
         member: &Member,
         effects: &mut Vec<Effect>,
     ) {
-        let name: Name = group.name.as_str().into();
-        let left =
-            self.groups.get(&name).is_some_and(|state| state.left_at.contains_key(&*member.id));
-        if left {
+        if self.state_of(inputs.now, group).left_at.contains_key(&*member.id) {
             return;
         }
-        let task = Task::Leave { group: name.clone(), epoch: group.epoch };
-        self.order_member(inputs, &name, member, Purpose::Leave, task, effects);
+        let task = Task::Leave { group: group.name.as_str().into(), epoch: group.epoch };
+        self.order_member(inputs, group, member, Purpose::Leave, task, effects);
+    }
+
+    /// Forgets that members have left which report the group again, because an earlier order was
+    /// carried out since. A head among them may have opened again.
+    fn forget_returned(&mut self, inputs: &Inputs<'_>, group: &Group) {
+        let state = self.state_of(inputs.now, group);
+        for member in &group.members {
+            let returned = inputs.endpoints.find(&member.id).is_some_and(|endpoint| {
+                endpoint.heartbeat.stage_in(&group.name, group.epoch).is_some()
+            });
+            if returned && state.left_at.remove(&*member.id).is_some() {
+                state.closed = false;
+                state.sealed = false;
+                state.may_reopen = true;
+            }
+        }
     }
 
     /// Whether the head can no longer run a request of this group: it has left, terminated or
     /// restarted, or another member left so long ago that the head must be broken. A new leader may
     /// not know the head: one that has terminated sends no heartbeats.
     fn is_released(&self, inputs: &Inputs<'_>, group: &Group, head: &Member) -> bool {
-        let Some(state) = self.groups.get(&*group.name) else { return false };
-        if state.left_at.contains_key(&*head.id) {
+        let Some(state) = self.groups.get(&Generation::of(group)) else { return false };
+        if state.left_at.contains_key(&*head.id) || has_terminated(inputs, head) {
             return true;
         }
-        let has_terminated = inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
-            endpoint.heartbeat.started_unix_ms != head.started_unix_ms || endpoint.confirmed_dead
-        });
-        if has_terminated {
+        let broken_after = self.times.stall_timeout + Duration::from_millis(500);
+        state.left_at.values().any(|at| inputs.now.since(*at) > broken_after)
+    }
+
+    /// Orders a head that has left to join a standby group, if orders of before may still be carried
+    /// out: they name a generation that the head then no longer accepts. Returns true once that is
+    /// not needed, done or no longer awaited.
+    fn seal_head(
+        &mut self,
+        inputs: &Inputs<'_>,
+        group: &Group,
+        head: &Member,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let state = self.state_of(inputs.now, group);
+        let Some(left_at) = state.left_at.get(&*head.id) else { return true };
+        if state.sealed || !state.may_reopen || has_terminated(inputs, head) {
             return true;
         }
-        let broken_after = self.times.stall_timeout + Duration::from_millis(500);
-        let mut others = group.members.iter().skip(1);
-        others.any(|member| {
-            let left = state.left_at.get(&*member.id);
-            left.is_some_and(|at| inputs.now.since(*at) > broken_after)
-        })
+        if inputs.now.since(*left_at) >= SEAL_TIMEOUT {
+            state.sealed = true;
+            let detail = format!("group={} epoch={}", group.name, group.epoch);
+            let event = journal::Event::new(247, "head not sealed", &*head.id, detail);
+            effects.push(Effect::Log(event));
+            return true;
+        }
+        let endpoint = inputs.endpoints.find(&head.id);
+        let model = endpoint.and_then(|endpoint| endpoint.last_served.clone());
+        let Some(model) = model else { return true };
+        let task = standby_task(inputs, &head.id.as_str().into(), &model);
+        self.order_member(inputs, group, head, Purpose::Seal, task, effects);
+        false
     }
 }
+
+/// Whether the endpoint has terminated or restarted since it became this member.
+fn has_terminated(inputs: &Inputs<'_>, member: &Member) -> bool {
+    inputs.endpoints.find(&member.id).is_some_and(|endpoint| {
+        endpoint.heartbeat.started_unix_ms != member.started_unix_ms || endpoint.confirmed_dead
+    })
+}
--- a/crates/fleet/src/control/planner/forming.rs
+++ b/crates/fleet/src/control/planner/forming.rs
@@ -14,10 +14,10 @@
 use crate::journal;
 use crate::Name;
 
-use super::super::endpoints::Endpoint;
 use super::super::state_machine::{Change, Group, GroupPlacement, Member};
 use super::super::Effect;
 use super::targets::{group_counts, load_per_group, Allocation, Counts};
+use super::vacancy::{count_warm, domain_of, is_warm, FreeEndpoints};
 use super::{Inputs, Planner};
 
 /// Time after which the members of a proposed group that was not applied count as free again.
@@ -30,8 +30,6 @@
     counts: Counts,
 }
 
-/// Identities of the free endpoints of a service, by fabric domain.
-pub(super) type FreeEndpoints = BTreeMap<Name, Vec<Name>>;
 /// Fabric domains whose free endpoints are reserved for a model, and until when.
 pub(super) type ReservedDomains = BTreeMap<Name, (Name, Instant)>;
 
@@ -112,25 +110,6 @@
         now.since(since) > self.times.heartbeat_interval / 2
     }
 
-    /// Usable endpoints of a service that belong to no group, not even a proposed one, by fabric
-    /// domain.
-    pub(super) fn free_endpoints(&self, inputs: &Inputs<'_>, service: &Service) -> FreeEndpoints {
-        let now = inputs.now;
-        let mut domains = FreeEndpoints::new();
-        for (id, endpoint) in inputs.endpoints.iter() {
-            let is_free = is_usable(endpoint, service, now, self.times.loss_timeout())
-                && !self.proposed_members.contains_key(id)
-                && inputs.state_machine.group_of(id).is_none();
-            if is_free {
-                domains
-                    .entry(endpoint.heartbeat.domain.as_str().into())
-                    .or_default()
-                    .push(id.clone());
-            }
-        }
-        domains
-    }
-
     /// Builds the command to create a group, and marks its members as proposed.
     fn prepare_placement(
         &mut self,
@@ -159,16 +138,6 @@
     }
 }
 
-/// Whether an endpoint belongs to a service and accepts new work.
-pub(super) fn is_usable(
-    endpoint: &Endpoint,
-    service: &Service,
-    now: Instant,
-    loss_timeout: Duration,
-) -> bool {
-    *endpoint.heartbeat.service == *service.name && endpoint.is_usable(now, loss_timeout)
-}
-
 /// Chooses a model and a fabric domain for a new group. Models below their target come first, those
 /// with the most members per group before others; ties and all other models are ordered by load.
 /// Domains reserved for another model are left out, and those in [`releasing_domains`] too if the
@@ -228,11 +197,6 @@
     heads.any(|head| domain_of(inputs, &head.id).as_ref() == Some(domain))
 }
 
-/// Fabric domain of an endpoint, or none if the endpoint is unknown.
-pub(super) fn domain_of(inputs: &Inputs<'_>, id: &str) -> Option<Name> {
-    Some(inputs.endpoints.find(id)?.heartbeat.domain.as_str().into())
-}
-
 /// Fabric domains in which a group is being dissolved. Its members are free soon; until then, only
 /// models below their target may form groups there.
 pub(super) fn releasing_domains(inputs: &Inputs<'_>) -> BTreeSet<Name> {
@@ -241,11 +205,6 @@
     members.filter_map(|member| domain_of(inputs, &member.id)).collect()
 }
 
-/// Number of endpoints in a list that are warm for a model.
-pub(super) fn count_warm(inputs: &Inputs<'_>, ids: &[Name], model: &str) -> usize {
-    ids.iter().filter(|id| is_warm(inputs, id, model)).count()
-}
-
 /// Removes the members of a new group from the free endpoints: those that have the model in memory
 /// first, then other warm ones.
 fn take_members(inputs: &Inputs<'_>, free: &mut Vec<Name>, model: &Model) -> Vec<Name> {
@@ -259,8 +218,3 @@
 fn is_in_memory(inputs: &Inputs<'_>, id: &str, model: &str) -> bool {
     inputs.endpoints.find(id).is_some_and(|endpoint| endpoint.model_in_memory() == Some(model))
 }
-
-/// Whether an endpoint is warm for a model; false if the endpoint is unknown.
-pub(super) fn is_warm(inputs: &Inputs<'_>, id: &str, model: &str) -> bool {
-    inputs.endpoints.find(id).is_some_and(|endpoint| endpoint.is_warm(model))
-}
--- a/crates/fleet/src/control/planner/staging.rs
+++ b/crates/fleet/src/control/planner/staging.rs
@@ -15,10 +15,11 @@
 use crate::order::Task;
 use crate::Name;
 
+use super::super::state_machine::Group;
 use super::super::Effect;
-use super::forming::{is_usable, is_warm, FreeEndpoints};
 use super::targets::{demand_weight, Allocation};
-use super::{Inputs, PendingOrder, Planner, Purpose};
+use super::vacancy::{is_usable, is_warm, FreeEndpoints};
+use super::{Generation, Inputs, PendingOrder, Planner, Purpose};
 
 /// Length of the sliding window in which loads are counted. A new leader starts no load for half of
 /// it.
@@ -93,10 +94,11 @@
     pub(super) fn stage_models(&mut self, inputs: &mut Inputs<'_>, effects: &mut Vec<Effect>) {
         let now = inputs.now;
         self.staging_orders.retain(|_, order| now.since(order.at) < STAGING_RETRY_INTERVAL);
-        let forming = |name: &Name| self.groups.get(name).is_some_and(|state| !state.opened);
-        let mut names = inputs.state_machine.groups.keys().map(|name| name.as_str().into());
-        let has_no_groups = inputs.state_machine.groups.is_empty();
-        if !inputs.traffic && (has_no_groups || names.any(|name| forming(&name))) {
+        let forming = |group: &Group| {
+            self.groups.get(&Generation::of(group)).is_some_and(|state| !state.opened)
+        };
+        let groups = &inputs.state_machine.groups;
+        if !inputs.traffic && (groups.is_empty() || groups.values().any(forming)) {
             return;
         }
         let document = inputs.document;
@@ -269,7 +271,8 @@
         self.staging_orders
             .insert(id.clone(), StagingOrder { model: model.clone(), at: inputs.now });
         let address = endpoint.heartbeat.address.as_str().into();
-        let pending = PendingOrder { group: "".into(), endpoint: id, purpose: Purpose::Stage };
+        let pending =
+            PendingOrder { group: None, endpoint: id, purpose: Purpose::Stage, joins: None };
         let task = Task::Stage { model };
         self.send_order(inputs.term, pending, address, task, effects);
     }
--- a/crates/fleet/src/control/planner/standby.rs
+++ b/crates/fleet/src/control/planner/standby.rs
@@ -22,8 +22,8 @@
 
 use super::super::endpoints::STANDBY_PREFIX;
 use super::super::Effect;
-use super::forming::{domain_of, FreeEndpoints};
-use super::{Inputs, PendingOrder, Planner, Purpose};
+use super::vacancy::{domain_of, FreeEndpoints};
+use super::{Generation, Inputs, PendingOrder, Planner, Purpose};
 
 /// Time for which an endpoint gets no further order to join a standby group.
 const STANDBY_RETRY_INTERVAL: Duration = Duration::from_secs(4);
@@ -129,19 +129,37 @@
             return;
         }
         self.standby_orders.insert(spare.id.clone(), inputs.now);
-        let group: Name = format!("{STANDBY_PREFIX}{}", spare.model.name).into();
-        let task = Task::Join {
-            group: group.clone(),
-            epoch: inputs.applied,
-            model: spare.model.name.clone(),
-            members: smallvec![spare.id.clone()],
-        };
         let address = endpoint.heartbeat.address.as_str().into();
-        let pending = PendingOrder { group, endpoint: spare.id.clone(), purpose: Purpose::Standby };
+        let pending = PendingOrder {
+            group: Some(Generation {
+                group: standby_group(&spare.model.name),
+                epoch: inputs.applied,
+            }),
+            endpoint: spare.id.clone(),
+            purpose: Purpose::Standby,
+            joins: Some(inputs.applied),
+        };
+        let task = standby_task(inputs, &spare.id, &spare.model.name);
         self.send_order(inputs.term, pending, address, task, effects);
     }
 }
 
+/// Order to an endpoint to join the standby group of a model. Its epoch is higher than that of any
+/// group that an endpoint can have left, and lower than that of any later group.
+pub(super) fn standby_task(inputs: &Inputs<'_>, id: &Name, model: &Name) -> Task {
+    Task::Join {
+        group: standby_group(model),
+        epoch: inputs.applied,
+        model: model.clone(),
+        members: smallvec![id.clone()],
+    }
+}
+
+/// Name of the standby group of a model.
+fn standby_group(model: &Name) -> Name {
+    format!("{STANDBY_PREFIX}{model}").into()
+}
+
 /// Number of members in groups that are not being dissolved, by fabric domain and model.
 fn members_by_domain(inputs: &Inputs<'_>, engine: &Engine) -> BTreeMap<(Name, Name), usize> {
     let mut members = BTreeMap::new();
--- a/crates/fleet/src/control/planner/summary.rs
+++ b/crates/fleet/src/control/planner/summary.rs
@@ -11,8 +11,8 @@
 use crate::Name;
 
 use super::super::Effect;
-use super::forming::{domain_of, is_usable};
 use super::targets::target_counts;
+use super::vacancy::{domain_of, is_usable};
 use super::{Inputs, Planner};
 
 /// Minimum time between two summaries.
--- a/crates/fleet/src/control/planner/targets.rs
+++ b/crates/fleet/src/control/planner/targets.rs
@@ -9,7 +9,7 @@
 use crate::document::{Engine, Model, Service};
 use crate::Name;
 
-use super::forming::is_usable;
+use super::vacancy::is_usable;
 use super::Inputs;
 
 /// Demand, in busy groups, that is added to the measured demand of each model, so that a model
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -55,6 +55,25 @@
     /// [`Stage`] within the group.
     #[prost(enumeration = "Stage", tag = "3")]
     pub stage: i32,
+    /// Position among the members, 0 for the head; none from a control daemon of an older build.
+    #[prost(uint32, optional, tag = "4")]
+    pub rank: Option<u32>,
+}
+
+impl Membership {
+    /// Whether this is the given generation of a group.
+    pub fn is_in(&self, group: &str, epoch: u64) -> bool {
+        self.group == group && self.epoch == epoch
+    }
+
+    /// Whether the endpoint is, or may be, the head of the group. Of a member that has only joined and
+    /// whose rank is not known, that can't be told.
+    pub fn may_be_head(&self) -> bool {
+        match self.stage() {
+            Stage::Joining | Stage::Ready => self.rank.is_none_or(|rank| rank == 0),
+            Stage::Open | Stage::Closing | Stage::Broken => true,
+        }
+    }
 }
 
 /// A heartbeat of an endpoint, or the same state read from its answer to a probe.
@@ -108,8 +127,7 @@
     /// none.
     pub fn stage_in(&self, group: &str, epoch: u64) -> Option<Stage> {
         let membership = self.membership.as_ref()?;
-        let same = membership.group == group && membership.epoch == epoch;
-        same.then(|| membership.stage())
+        membership.is_in(group, epoch).then(|| membership.stage())
     }
 
     /// Name of the service.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -14,7 +14,7 @@
 use dotterelhoist_core::replica::{Identity, Stored};
 use dotterelhoist_fleet::control::planner::Times;
 use dotterelhoist_fleet::control::{Answer, Effect, Event, Setup, State};
-use dotterelhoist_fleet::endpoint::Stage;
+use dotterelhoist_fleet::endpoint::{Heartbeat, Membership, Stage};
 use dotterelhoist_fleet::message::{Body, Fetch, Hello, Reply, Report};
 use dotterelhoist_fleet::order::{Order, Outcome, Task};
 use dotterelhoist_fleet::patch::Patch;
@@ -30,6 +30,11 @@
 /// Time after which a probe of a silent engine ends without an answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Delay of an order; none if it is executed at once.
+pub type OrderDelay = Box<dyn FnMut(&Order, u64) -> Option<Duration>>;
+/// Delay of a heartbeat.
+pub type HeartbeatDelay = Box<dyn FnMut(&Heartbeat, u64) -> Duration>;
+
 pub struct Cluster {
     shape: Shape,
     pub now: Instant,
@@ -43,6 +48,15 @@
     pub violations: Vec<String>,
     /// Whether orders are executed only twelve seconds after they are sent, without an answer.
     pub delay_orders: bool,
+    /// How long after it was sent an order is executed, without an answer; none for at once. The
+    /// second argument is a random number.
+    pub order_delay: OrderDelay,
+    /// How long after it was sent a heartbeat arrives; the second argument is a random number.
+    pub heartbeat_delay: HeartbeatDelay,
+    /// Groups that engines report in place of their own.
+    pub misreports: BTreeMap<Name, Membership>,
+    /// Numbers of the events that control daemons have logged.
+    codes: Vec<u16>,
     /// Whether the entry daemon of the first zone reports requests of callers.
     pub traffic: bool,
     /// Whether zone `y`, that of the second fabric domain, is partitioned from the control daemons.
@@ -101,6 +115,10 @@
             answers: BTreeMap::new(),
             violations: Vec::new(),
             delay_orders: false,
+            misreports: BTreeMap::new(),
+            codes: Vec::new(),
+            order_delay: Box::new(|_, _| None),
+            heartbeat_delay: Box::new(|_, _| Duration::ZERO),
             traffic: false,
             zone_partitioned: false,
             suspects: Vec::new(),
@@ -130,7 +148,7 @@
         cluster
     }
 
-    fn add_engine(&mut self, at: usize, domain: &str) {
+    pub fn add_engine(&mut self, at: usize, domain: &str) {
         let engine = Engine::open(at, domain, self.now);
         self.engines.insert(engine.id.clone(), engine);
     }
@@ -299,6 +317,7 @@
         let now = self.now;
         let Some(engine) = self.engines.get_mut(id) else { return };
         engine.dead = false;
+        engine.stops_at = None;
         engine.started_unix_ms += 1;
         engine.sequence = 0;
         engine.membership = None;
@@ -316,6 +335,21 @@
         }
     }
 
+    /// Puts an engine into a group without an order.
+    pub fn report_group(&mut self, id: &Name, members: &[Name], membership: Membership) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        engine.membership = Some(membership);
+        engine.members = members.to_vec();
+        engine.ready_at = now;
+        engine.heartbeat_due = now;
+    }
+
+    /// How often control daemons have logged the event with this number.
+    pub fn logged(&self, code: u16) -> usize {
+        self.codes.iter().filter(|logged| **logged == code).count()
+    }
+
     /// Makes an engine fall silent, or go on.
     pub fn set_silent(&mut self, id: &Name, silent: bool) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -442,7 +476,8 @@
                 Effect::Answer(ticket, answer) => {
                     self.answers.insert(ticket, answer);
                 }
-                Effect::Dial(_) | Effect::Log(_) => {}
+                Effect::Log(event) => self.codes.push(event.code),
+                Effect::Dial(_) => {}
             }
         }
     }
@@ -461,15 +496,26 @@
             self.delayed_orders.push((self.now + Duration::from_secs(12), order.clone()));
             return Outcome::Unanswered;
         }
+        let random = self.random();
+        if let Some(delay) = (self.order_delay)(order, random) {
+            self.delayed_orders.push((self.now + delay, order.clone()));
+            return Outcome::Unanswered;
+        }
         self.execute(order)
     }
 
+    fn random(&mut self) -> u64 {
+        self.rng_state = self.rng_state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.rng_state >> 33
+    }
+
     fn execute(&mut self, order: &Order) -> Outcome {
         let load_time = if self.traffic { COLD_LOAD } else { COLD_LOAD / 10 };
-        self.check_join(order);
+        let conflict = self.find_conflict(order);
         let now = self.now;
         let Some(engine) = self.engines.get_mut(&order.endpoint) else { return Outcome::Refused };
         let outcome = engine.execute(&order.task, now, load_time);
+        self.violations.extend(conflict.filter(|_| outcome == Outcome::Taken));
         if let (Task::Open { group, epoch }, Outcome::Taken) = (&order.task, &outcome) {
             self.check_open(&order.endpoint, group, *epoch);
         }
@@ -485,26 +531,22 @@
         }
     }
 
-    /// Records a violation if an engine is ordered to join another group while the head of its
-    /// current group still runs requests.
-    fn check_join(&mut self, order: &Order) {
-        let Task::Join { group, .. } = &order.task else { return };
-        let engine = &self.engines[&order.endpoint];
-        let Some(old) = &engine.membership else { return };
+    /// The violation that it is if an engine takes an order to join another group while the head of
+    /// its current group still runs requests.
+    fn find_conflict(&self, order: &Order) -> Option<String> {
+        let Task::Join { group, .. } = &order.task else { return None };
+        let engine = self.engines.get(&order.endpoint)?;
+        let old = engine.membership.as_ref()?;
         if *old.group == **group || engine.dead {
-            return;
+            return None;
         }
-        let Some(head) = engine.members.first().and_then(|head| self.engines.get(head)) else {
-            return;
-        };
+        let head = self.engines.get(engine.members.first()?)?;
         let open = head.membership.as_ref().is_some_and(|membership| {
-            membership.group == old.group
+            membership.is_in(&old.group, old.epoch)
                 && matches!(membership.stage(), Stage::Open | Stage::Closing)
         });
-        if open && !head.dead {
-            let text = format!("{} joins {group} while {} is open", order.endpoint, old.group);
-            self.violations.push(text);
-        }
+        let text = || format!("{} joins {group} while {} is open", order.endpoint, old.group);
+        (open && !head.dead).then(text)
     }
 
     fn step_engines(&mut self) {
@@ -520,10 +562,20 @@
         let Some(engine) = self.engines.get_mut(id) else { return };
         engine.step(now, complete);
         self.seen_ready.extend(engine.ready_membership());
-        let Some(heartbeat) = engine.due_heartbeat(now) else { return };
+        let Some(mut heartbeat) = engine.due_heartbeat(now) else { return };
+        if let Some(misreport) = self.misreports.get(id) {
+            heartbeat.membership = Some(misreport.clone());
+        }
         let names: Vec<Name> = self.daemons.keys().cloned().collect();
-        if let Some(daemon) = names.get(heartbeat.sequence as usize % names.len().max(1)) {
-            self.inbox.push((daemon.clone(), Event::Heartbeat(Box::new(heartbeat))));
+        let Some(daemon) = names.get(heartbeat.sequence as usize % names.len().max(1)) else {
+            return;
+        };
+        let random = self.random();
+        let delay = (self.heartbeat_delay)(&heartbeat, random);
+        let event = Event::Heartbeat(Box::new(heartbeat));
+        match delay.is_zero() {
+            true => self.inbox.push((daemon.clone(), event)),
+            false => self.delayed_events.push((now + delay, daemon.clone(), event)),
         }
     }
 
--- a/crates/fleet/tests/control/engine.rs
+++ b/crates/fleet/tests/control/engine.rs
@@ -90,6 +90,7 @@
                     group: group.to_string(),
                     epoch: *epoch,
                     stage: Stage::Joining as i32,
+                    rank: members.iter().position(|id| *id == self.id).map(|rank| rank as u32),
                 });
                 Outcome::Taken
             }
@@ -98,6 +99,7 @@
                     return Outcome::Unfit;
                 }
                 self.set_stage(Stage::Open, now);
+                self.ready_at = now;
                 Outcome::Taken
             }
             Task::Close { group, epoch, .. } => {
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -10,6 +10,7 @@
 mod cluster;
 mod engine;
 mod evidence;
+mod late;
 mod service;
 
 use self::cluster::{daemon_names, Cluster, STALL_TIMEOUT};
