A deregistration is not taken back by heartbeats that are late

Cause: the mark was a heartbeat with the next number, which any later number of the same incarnation replaced. By the same class it was lost if another daemon had received a heartbeat of that number, if the daemon did not know the endpoint or was killed within 50 ms of its answer; and a head that made progress stayed in the view without a leader.

Change: the mark is kept apart, for the incarnation and 60 s; it is forwarded before the answer is written. An endpoint that states its incarnation is held to it. Older builds read the same heartbeats as before.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -109,8 +109,13 @@
     Persisted(u64),
     /// An endpoint has sent a heartbeat to this daemon.
     Heartbeat(Box<Heartbeat>),
-    /// The endpoint with this identity has deregistered: it has terminated or will terminate soon.
-    Deregistered(Name),
+    /// An endpoint has deregistered: it has terminated or will terminate soon.
+    Deregistered {
+        /// Its identity.
+        id: Name,
+        /// Start of its incarnation in Unix milliseconds, if it has stated it.
+        started_unix_ms: Option<u64>,
+    },
     /// An operator has sent a document.
     PutDocument {
         /// Identifies the call in [`Effect::Answer`] and to the leader. No other call of this daemon
@@ -306,7 +311,9 @@
                 self.replica.mark_synced(now, sequence, &mut self.outputs);
             }
             Event::Heartbeat(heartbeat) => self.record_heartbeat(now, *heartbeat),
-            Event::Deregistered(id) => self.deregister(now, &id),
+            Event::Deregistered { id, started_unix_ms } => {
+                self.deregister(now, &id, started_unix_ms, effects);
+            }
             Event::PutDocument { ticket, body } => self.handle_put(now, ticket, body, effects),
             Event::GetDocument { ticket } => self.handle_call(now, ticket, None, effects),
             Event::OrderFinished { ticket, outcome } => {
@@ -442,10 +449,19 @@
         self.endpoints.record_heartbeat(heartbeat, now);
     }
 
-    /// Marks an endpoint as gone, and queues its last heartbeat for the other control daemons.
-    fn deregister(&mut self, now: Instant, id: &str) {
-        if let Some(heartbeat) = self.endpoints.deregister(id) {
+    /// Marks an endpoint as gone, and tells the other control daemons at once: the endpoint stops
+    /// when it has the answer, also if this daemon ends.
+    fn deregister(
+        &mut self,
+        now: Instant,
+        id: &str,
+        started: Option<u64>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(heartbeat) = self.endpoints.deregister(now, id, started) {
             self.unforwarded_heartbeats.push((heartbeat, now));
+            self.forward_due = now;
+            self.forward_heartbeats(now, effects);
         }
     }
 
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -404,7 +404,7 @@
                 now.since(*at) < REPORT_TTL && outage.is_none_or(|outage| *at > outage.since)
             });
             let alive = endpoint.is_alive_since(now, ENDPOINT_TTL, since) || makes_progress;
-            let alive = alive && !endpoint.heartbeat.draining;
+            let alive = alive && !endpoint.heartbeat.draining && !endpoint.heartbeat.gone;
             let reachable = !self.reachability.is_unreachable(&endpoint.heartbeat.zone, now);
             if open
                 && alive
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -23,6 +23,11 @@
 /// pause for a second or so, and the first probe has waited for its answer before.
 const SILENCE_MAX: Duration = Duration::from_millis(1200);
 
+/// Time after the deregistration of an endpoint for which its heartbeats don't take that back: they
+/// were sent before, or while it stops. One that still sends some after it has not meant itself: the
+/// deregistration was a late one of an earlier incarnation.
+const DEREGISTRATION_TTL: Duration = Duration::from_secs(60);
+
 /// Time after an endpoint has left a group in which a heartbeat that names the group was sent before.
 /// An endpoint that joins again needs longer until it can serve.
 const DEPARTURE_SETTLE_TIME: Duration = Duration::from_millis(300);
@@ -83,6 +88,8 @@
     pub outage: Option<Outage>,
     /// Model of the last group in which it was ready, in its current incarnation.
     pub last_served: Option<Name>,
+    /// When this incarnation deregistered, or another one took its address; none before.
+    gone_at: Option<Instant>,
     /// Whether another endpoint has started at its address, which proves that it has terminated. A
     /// refused connection is no proof, as a network partition may reset connections.
     pub confirmed_dead: bool,
@@ -99,30 +106,29 @@
 #[derive(Debug, Default)]
 pub struct Table {
     endpoints: BTreeMap<Name, Endpoint>,
+    /// Unknown endpoints that have deregistered, by identity.
+    unknown_departures: BTreeMap<Name, UnknownDeparture>,
+}
+
+/// Deregistration of an endpoint that is not known, so that its late heartbeats can be told.
+#[derive(Clone, Copy, Debug)]
+struct UnknownDeparture {
+    /// Start of its incarnation, if it has stated it.
+    started: Option<u64>,
+    at: Instant,
 }
 
 impl Table {
     /// Records a heartbeat that was received at `last_seen`. Returns false if it is not newer than
     /// the last one, or if an endpoint that started later already uses the same address.
     pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, last_seen: Instant) -> bool {
-        let id: Name = heartbeat.id.as_str().into();
-        if let Some(endpoint) = self.endpoints.get_mut(&id) {
-            if !heartbeat.supersedes(&endpoint.heartbeat) {
-                return false;
-            }
-            let restarted = heartbeat.started_unix_ms != endpoint.heartbeat.started_unix_ms;
-            endpoint.heartbeat = heartbeat;
-            endpoint.last_seen = endpoint.last_seen.max(last_seen);
-            endpoint.outage = None;
-            endpoint.told_at = endpoint.told_at.max(last_seen);
-            if restarted {
-                endpoint.last_served = None;
-                endpoint.confirmed_dead = false;
-                endpoint.departure = None;
-                endpoint.joined_epoch = 0;
-            }
-            endpoint.confirm_departure(last_seen);
-            endpoint.discard_outdated_membership(last_seen);
+        if let Some(endpoint) = self.endpoints.get_mut(&*heartbeat.id) {
+            return endpoint.update(heartbeat, last_seen);
+        }
+        if heartbeat.gone && heartbeat.address.is_empty() {
+            let started = Some(heartbeat.started_unix_ms).filter(|started| *started > 0);
+            let departure = UnknownDeparture { started, at: last_seen };
+            self.unknown_departures.insert(heartbeat.id.into(), departure);
             return true;
         }
         let same_address = |other: &Endpoint| other.heartbeat.address == heartbeat.address;
@@ -132,28 +138,40 @@
             return false;
         }
         for other in self.endpoints.values_mut().filter(|other| same_address(other)) {
-            other.heartbeat.gone = true;
+            other.record_gone(last_seen);
             other.confirmed_dead = true;
         }
-        let endpoint = Endpoint {
-            heartbeat,
-            last_seen,
-            outage: None,
-            last_served: None,
-            confirmed_dead: false,
-            departure: None,
-            joined_epoch: 0,
-            told_at: last_seen,
-        };
+        let id: Name = heartbeat.id.as_str().into();
+        let departure = self.unknown_departures.remove(&id);
+        let departure = departure.filter(|departure| {
+            departure.started.is_none_or(|started| started >= heartbeat.started_unix_ms)
+        });
+        let mut endpoint = Endpoint::open(heartbeat, last_seen);
+        endpoint.gone_at = endpoint.gone_at.or(departure.map(|departure| departure.at));
+        endpoint.keep_gone(last_seen);
         self.endpoints.insert(id, endpoint);
         true
     }
 
-    /// Marks an endpoint that deregisters as gone. Returns the resulting heartbeat, which is to be
-    /// forwarded to the other control daemons, or none if the endpoint is unknown.
-    pub fn deregister(&mut self, id: &str) -> Option<Heartbeat> {
-        let endpoint = self.endpoints.get_mut(id)?;
-        endpoint.heartbeat.gone = true;
+    /// Marks an endpoint that deregisters as gone. Returns the heartbeat that tells the other control
+    /// daemons so, or none if a later incarnation is known than the one that deregisters. `started` is
+    /// the start of that incarnation, if the endpoint has stated it.
+    pub fn deregister(
+        &mut self,
+        now: Instant,
+        id: &str,
+        started: Option<u64>,
+    ) -> Option<Heartbeat> {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            self.unknown_departures.insert(id.into(), UnknownDeparture { started, at: now });
+            let started_unix_ms = started.unwrap_or_default();
+            let id = id.to_owned();
+            return Some(Heartbeat { id, started_unix_ms, gone: true, ..Heartbeat::default() });
+        };
+        if started.is_some_and(|started| started < endpoint.heartbeat.started_unix_ms) {
+            return None;
+        }
+        endpoint.record_gone(now);
         endpoint.heartbeat.sequence += 1;
         Some(endpoint.heartbeat.clone())
     }
@@ -176,10 +194,50 @@
     /// Removes endpoints that have not been seen for `RETENTION`.
     pub fn remove_expired(&mut self, now: Instant) {
         self.endpoints.retain(|_, endpoint| now.since(endpoint.last_seen) < RETENTION);
+        self.unknown_departures.retain(|_, departure| now.since(departure.at) < DEREGISTRATION_TTL);
     }
 }
 
 impl Endpoint {
+    /// An endpoint whose first heartbeat was received at `last_seen`.
+    fn open(heartbeat: Heartbeat, last_seen: Instant) -> Endpoint {
+        Endpoint {
+            gone_at: heartbeat.gone.then_some(last_seen),
+            heartbeat,
+            last_seen,
+            outage: None,
+            last_served: None,
+            confirmed_dead: false,
+            departure: None,
+            joined_epoch: 0,
+            told_at: last_seen,
+        }
+    }
+
+    /// Records a heartbeat that was received at `last_seen`. Returns false if it is not newer than the
+    /// last one.
+    fn update(&mut self, heartbeat: Heartbeat, last_seen: Instant) -> bool {
+        let restarted = !self.is_incarnation(&heartbeat);
+        if heartbeat.gone && !restarted {
+            self.record_gone(last_seen);
+        }
+        if !heartbeat.supersedes(&self.heartbeat) {
+            return false;
+        }
+        if restarted {
+            *self = Endpoint { last_seen: self.last_seen, ..Endpoint::open(heartbeat, last_seen) };
+        } else {
+            self.heartbeat = heartbeat;
+        }
+        self.last_seen = self.last_seen.max(last_seen);
+        self.told_at = self.told_at.max(last_seen);
+        self.outage = None;
+        self.keep_gone(last_seen);
+        self.confirm_departure(last_seen);
+        self.discard_outdated_membership(last_seen);
+        true
+    }
+
     /// Whether it was last seen less than `timeout` ago, has not terminated or deregistered, and
     /// has no outage. Suffices for decisions that can be taken back; others need
     /// [`Endpoint::has_failed`].
@@ -230,6 +288,29 @@
         current.is_none()
     }
 
+    /// Whether a heartbeat is one of its current incarnation. That of a daemon which does not know the
+    /// endpoint states none.
+    fn is_incarnation(&self, heartbeat: &Heartbeat) -> bool {
+        let unstated = heartbeat.gone && heartbeat.started_unix_ms == 0;
+        unstated || heartbeat.started_unix_ms == self.heartbeat.started_unix_ms
+    }
+
+    /// Records that it has deregistered or terminated.
+    fn record_gone(&mut self, now: Instant) {
+        self.heartbeat.gone = true;
+        self.gone_at.get_or_insert(now);
+    }
+
+    /// Keeps it gone although its newest heartbeat, seen at this time, does not say so.
+    fn keep_gone(&mut self, seen_at: Instant) {
+        let Some(gone_at) = self.gone_at else { return };
+        if seen_at.since(gone_at) < DEREGISTRATION_TTL {
+            self.heartbeat.gone = true;
+        } else if !self.heartbeat.gone {
+            self.gone_at = None;
+        }
+    }
+
     /// Records that it has carried out an order to join this generation of a group.
     pub fn record_join(&mut self, now: Instant, epoch: u64) {
         self.joined_epoch = self.joined_epoch.max(epoch);
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -365,7 +365,8 @@
         }
         let first = self.daemons.keys().next().cloned();
         if let Some(daemon) = first {
-            self.inbox.push((daemon, Event::Deregistered(id.clone())));
+            let started_unix_ms = Some(self.engines[id].started_unix_ms);
+            self.inbox.push((daemon, Event::Deregistered { id: id.clone(), started_unix_ms }));
         }
     }
 
@@ -414,7 +415,8 @@
         }
     }
 
-    fn apply(&mut self, name: &Name, event: Event) {
+    /// Passes an event to a control daemon that runs.
+    pub fn apply(&mut self, name: &Name, event: Event) {
         let Some(state) = self.daemons.get_mut(name) else { return };
         let mut effects = Vec::new();
         state.apply(self.now, event, &mut effects);
--- /dev/null
+++ b/crates/fleet/tests/control/departures.rs
@@ -0,0 +1,116 @@
+//! Endpoints that leave, and what is said of them late or by others.
+
+use std::time::Duration;
+
+use dotterelhoist_fleet::control::Event;
+use dotterelhoist_fleet::endpoint::Heartbeat;
+use dotterelhoist_fleet::Name;
+use rstest::rstest;
+
+use crate::cluster::{daemon_names, Cluster};
+use crate::{serving_cluster, SECOND};
+
+fn heartbeat(cluster: &mut Cluster, to: &Name, heartbeat: &Heartbeat) {
+    cluster.apply(to, Event::Heartbeat(Box::new(heartbeat.clone())));
+}
+
+fn deregister(cluster: &mut Cluster, at: &Name, id: &Name, started_unix_ms: Option<u64>) {
+    cluster.apply(at, Event::Deregistered { id: id.clone(), started_unix_ms });
+}
+
+/// Control daemons that take the endpoint for one that stays.
+fn unaware(cluster: &Cluster, id: &Name) -> Vec<Name> {
+    let stays = |name: &&Name| {
+        let endpoint = cluster.daemons[*name].endpoints().find(id);
+        endpoint.is_some_and(|endpoint| !endpoint.heartbeat.gone)
+    };
+    cluster.daemons.keys().filter(stays).cloned().collect()
+}
+
+/// Guards against DRAIN: heartbeats from before a deregistration took it back when they arrived after it.
+#[rstest]
+fn deregistration_is_not_taken_back_by_late_heartbeats(
+    #[values(0, 1, 2)] deregistered_at: usize,
+    #[values(0, 1, 2)] late_at: usize,
+    #[values(1, 2, 5)] late_count: u64,
+    #[values(true, false)] states_incarnation: bool,
+    #[values(0, 40, 2000)] pause_ms: u64,
+) {
+    let mut cluster = serving_cluster(1);
+    let daemons = daemon_names();
+    let id = cluster.heads()[0].clone();
+    let newest = cluster.engines[&id].heartbeat();
+    let started = states_incarnation.then_some(newest.started_unix_ms);
+    cluster.engines.get_mut(&id).expect("the head").stops_at = Some(cluster.now + SECOND * 30);
+    deregister(&mut cluster, &daemons[deregistered_at], &id, started);
+    for more in 1..=late_count {
+        cluster.run(Duration::from_millis(pause_ms));
+        let late = Heartbeat { sequence: newest.sequence + more, ..newest.clone() };
+        heartbeat(&mut cluster, &daemons[late_at], &late);
+    }
+    cluster.run(SECOND / 4);
+    assert_eq!(unaware(&cluster, &id), Vec::<Name>::new());
+    assert!(!cluster.heads_in_view.contains(&id), "it is still sent requests");
+    cluster.run(SECOND * 5);
+    assert_eq!(unaware(&cluster, &id), Vec::<Name>::new());
+}
+
+/// Guards against DRAIN: a daemon that was killed right after it had acknowledged a deregistration told nobody.
+#[rstest]
+fn deregistration_acknowledged_by_a_daemon_that_is_killed_is_known(
+    #[values(true, false)] knows_endpoint: bool,
+) {
+    let mut cluster = serving_cluster(1);
+    let first = daemon_names()[0].clone();
+    let id = cluster.heads()[0].clone();
+    if !knows_endpoint {
+        cluster.engines.get_mut(&id).expect("the head").partitioned = true;
+        cluster.kill(&first);
+        cluster.start(&first, &format!("{first}#0"));
+        cluster.run(SECOND / 10);
+        assert!(cluster.daemons[&first].endpoints().find(&id).is_none());
+    }
+    deregister(&mut cluster, &first, &id, None);
+    cluster.kill(&first);
+    cluster.run(Duration::from_millis(50));
+    assert_eq!(unaware(&cluster, &id), Vec::<Name>::new());
+}
+
+/// Guards against DRAIN: a head that made progress stayed in the view without a leader to dissolve its group.
+#[test]
+fn head_that_deregisters_leaves_the_view_without_a_leader() {
+    let mut cluster = serving_cluster(1);
+    let id = cluster.heads()[0].clone();
+    cluster.progress = vec![id.to_string()];
+    cluster.control_partitioned = true;
+    cluster.run(SECOND * 2);
+    assert!(cluster.leader().is_none() && cluster.heads_in_view.contains(&id));
+    for daemon in daemon_names() {
+        deregister(&mut cluster, &daemon, &id, None);
+    }
+    cluster.run(SECOND / 4);
+    assert!(!cluster.heads_in_view.contains(&id), "it is still sent requests");
+}
+
+/// Guards against the loss of an endpoint that started again before its earlier deregistration arrived.
+#[rstest]
+#[case::states_its_incarnation(true, 1)]
+#[case::states_none(false, 70)]
+fn deregistration_of_an_earlier_incarnation_does_not_hold_the_next_one_for_good(
+    #[case] states_incarnation: bool,
+    #[case] held_s: u32,
+) {
+    let mut cluster = serving_cluster(1);
+    let head = cluster.heads()[0].clone();
+    let started = cluster.engines[&head].started_unix_ms;
+    let before = cluster.open_groups();
+    cluster.kill_engines(std::slice::from_ref(&head));
+    cluster.restart_engine(&head);
+    cluster.run(SECOND * 4);
+    let daemons = daemon_names();
+    deregister(&mut cluster, &daemons[1], &head, states_incarnation.then_some(started));
+    cluster.run(SECOND * held_s);
+    assert_eq!(unaware(&cluster, &head), daemons);
+    cluster.run(SECOND * 20);
+    assert!(cluster.open_groups() >= before, "{} of {before} groups", cluster.open_groups());
+}
--- a/crates/fleet/tests/control/engine.rs
+++ b/crates/fleet/tests/control/engine.rs
@@ -213,7 +213,7 @@
         probe::Outcome::Report(Box::new(self.heartbeat()))
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    pub fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             id: self.id.to_string(),
             service: "llm".into(),
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 
 mod cluster;
+mod departures;
 mod engine;
 mod evidence;
 mod late;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -340,7 +340,8 @@
         match self.protocol.parse_call(&head.method, path) {
             Some(Call::Heartbeat(id)) => self.handle_heartbeat(&id, &body),
             Some(Call::Deregister(id)) => {
-                self.apply(Event::Deregistered(id.as_str().into()));
+                let started_unix_ms = self.protocol.decode_deregistration(&body);
+                self.apply(Event::Deregistered { id: id.as_str().into(), started_unix_ms });
                 response_bytes(200, "", self.protocol.heartbeat_reply())
             }
             Some(Call::PutDocument) => {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -74,6 +74,10 @@
     /// Returns a message that says why the heartbeat does not describe a usable endpoint.
     fn decode_heartbeat(&self, id: &str, body: &[u8]) -> Result<Heartbeat, String>;
 
+    /// Decodes the start of the endpoint's incarnation in Unix milliseconds from its deregistration;
+    /// none if that does not state it.
+    fn decode_deregistration(&self, body: &[u8]) -> Option<u64>;
+
     /// Decodes the report with which the endpoint `id` answers a probe. Only its incarnation, its
     /// serving group and the models on its VM are used.
     ///
