A heartbeat of a service that no configuration names ends nobody at its address

Cause: any new identity at an address counted as proof that the others there have terminated.

Change: only an endpoint of a service that the configuration names holds its address and ends others; strangers get no orders either.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -407,7 +407,7 @@
                 for AgedHeartbeat { heartbeat, age_ms } in batch.heartbeats {
                     let Some(heartbeat) = heartbeat else { continue };
                     let seen_at = now.before(Duration::from_millis(u64::from(age_ms)));
-                    self.endpoints.record_heartbeat(heartbeat, seen_at);
+                    self.record_in_table(heartbeat, seen_at);
                 }
             }
             Body::Report(report) => {
@@ -446,7 +446,13 @@
     /// control daemons.
     fn record_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat) {
         self.unforwarded_heartbeats.push((heartbeat.clone(), now));
-        self.endpoints.record_heartbeat(heartbeat, now);
+        self.record_in_table(heartbeat, now);
+    }
+
+    /// Records a heartbeat that an endpoint has sent to any control daemon, received at `seen_at`.
+    fn record_in_table(&mut self, heartbeat: Heartbeat, seen_at: Instant) {
+        let named = self.document.services.contains_key(&*heartbeat.service);
+        self.endpoints.record_heartbeat(heartbeat, seen_at, named);
     }
 
     /// Marks an endpoint as gone, and tells the other control daemons at once: the endpoint stops
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -88,6 +88,8 @@
     pub outage: Option<Outage>,
     /// Model of the last group in which it was ready, in its current incarnation.
     pub last_served: Option<Name>,
+    /// Whether it counts as the one that uses its address: its service is in the configuration.
+    holds_address: bool,
     /// When this incarnation deregistered, or another one took its address; none before.
     gone_at: Option<Instant>,
     /// Whether another endpoint has started at its address, which proves that it has terminated. A
@@ -120,27 +122,42 @@
 
 impl Table {
     /// Records a heartbeat that was received at `last_seen`. Returns false if it is not newer than
-    /// the last one, or if an endpoint that started later already uses the same address.
-    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, last_seen: Instant) -> bool {
-        if let Some(endpoint) = self.endpoints.get_mut(&*heartbeat.id) {
-            return endpoint.update(heartbeat, last_seen);
+    /// the last one, or if an endpoint that started later already uses the same address. `named`
+    /// says whether the configuration names its service: only then does it prove that others at its
+    /// address have terminated, as anybody may state an address.
+    pub fn record_heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        last_seen: Instant,
+        named: bool,
+    ) -> bool {
+        let id: Name = heartbeat.id.as_str().into();
+        let is_new = match self.endpoints.get_mut(&id) {
+            Some(endpoint) => endpoint.update(heartbeat, last_seen),
+            None => self.insert(heartbeat, last_seen),
+        };
+        if is_new && named {
+            self.claim_address(&id, last_seen);
         }
+        is_new
+    }
+
+    /// Adds an endpoint that was not known. Returns false if one that started later already uses the
+    /// same address.
+    fn insert(&mut self, heartbeat: Heartbeat, last_seen: Instant) -> bool {
         if heartbeat.gone && heartbeat.address.is_empty() {
             let started = Some(heartbeat.started_unix_ms).filter(|started| *started > 0);
             let departure = UnknownDeparture { started, at: last_seen };
             self.unknown_departures.insert(heartbeat.id.into(), departure);
             return true;
         }
-        let same_address = |other: &Endpoint| other.heartbeat.address == heartbeat.address;
         if self.endpoints.values().any(|other| {
-            same_address(other) && other.heartbeat.started_unix_ms > heartbeat.started_unix_ms
+            other.holds_address
+                && other.heartbeat.address == heartbeat.address
+                && other.heartbeat.started_unix_ms > heartbeat.started_unix_ms
         }) {
             return false;
         }
-        for other in self.endpoints.values_mut().filter(|other| same_address(other)) {
-            other.record_gone(last_seen);
-            other.confirmed_dead = true;
-        }
         let id: Name = heartbeat.id.as_str().into();
         let departure = self.unknown_departures.remove(&id);
         let departure = departure.filter(|departure| {
@@ -153,6 +170,26 @@
         true
     }
 
+    /// Makes an endpoint the one that uses its address, unless it is already: others there that started
+    /// no later have terminated.
+    fn claim_address(&mut self, id: &Name, now: Instant) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        if std::mem::replace(&mut endpoint.holds_address, true) {
+            return;
+        }
+        let address = endpoint.heartbeat.address.clone();
+        let started = endpoint.heartbeat.started_unix_ms;
+        for (other_id, other) in &mut self.endpoints {
+            let replaced = other_id != id
+                && other.heartbeat.address == address
+                && other.heartbeat.started_unix_ms <= started;
+            if replaced {
+                other.record_gone(now);
+                other.confirmed_dead = true;
+            }
+        }
+    }
+
     /// Marks an endpoint that deregisters as gone. Returns the heartbeat that tells the other control
     /// daemons so, or none if a later incarnation is known than the one that deregisters. `started` is
     /// the start of that incarnation, if the endpoint has stated it.
@@ -205,6 +242,7 @@
             gone_at: heartbeat.gone.then_some(last_seen),
             heartbeat,
             last_seen,
+            holds_address: false,
             outage: None,
             last_served: None,
             confirmed_dead: false,
@@ -224,6 +262,9 @@
         if !heartbeat.supersedes(&self.heartbeat) {
             return false;
         }
+        if heartbeat.address != self.heartbeat.address {
+            self.holds_address = false;
+        }
         if restarted {
             *self = Endpoint { last_seen: self.last_seen, ..Endpoint::open(heartbeat, last_seen) };
         } else {
--- a/crates/fleet/src/control/planner/stray.rs
+++ b/crates/fleet/src/control/planner/stray.rs
@@ -180,6 +180,10 @@
     let mut reports: Vec<(&Name, &Endpoint, &Membership)> = Vec::new();
     for (id, endpoint) in inputs.endpoints.iter() {
         let Some(membership) = endpoint.reported_group() else { continue };
+        let service = inputs.document.services.get(&*endpoint.heartbeat.service);
+        if service.is_none_or(|service| service.engine.is_none()) {
+            continue;
+        }
         let placed = inputs.state_machine.groups.get(&membership.group).is_some_and(|group| {
             let listed = group.members.iter().any(|member| *member.id == **id);
             group.epoch == membership.epoch && listed
--- a/crates/fleet/tests/control/departures.rs
+++ b/crates/fleet/tests/control/departures.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use dotterelhoist_core::clock::Instant;
+use dotterelhoist_fleet::control::endpoints::Table;
 use dotterelhoist_fleet::control::Event;
 use dotterelhoist_fleet::endpoint::Heartbeat;
 use dotterelhoist_fleet::Name;
@@ -114,3 +116,71 @@
     cluster.run(SECOND * 20);
     assert!(cluster.open_groups() >= before, "{} of {before} groups", cluster.open_groups());
 }
+
+/// Guards against TWO: a heartbeat of another writer, with the address of an open head, freed the members of its group.
+#[rstest]
+fn heartbeat_of_an_unnamed_service_at_the_address_of_a_head_changes_nothing(
+    #[values(1, 9_000_000)] started_unix_ms: u64,
+    #[values(0, 1, 2)] at: usize,
+    #[values(true, false)] membership: bool,
+) {
+    let mut cluster = serving_cluster(1);
+    let head = cluster.heads()[0].clone();
+    let before = cluster.open_groups();
+    cluster.releases.clear();
+    let foreign = Heartbeat {
+        id: "foreign".into(),
+        service: "elsewhere".into(),
+        started_unix_ms,
+        sequence: 1,
+        membership: cluster.engines[&head].membership.clone().filter(|_| membership),
+        ..cluster.engines[&head].heartbeat()
+    };
+    for sequence in 1..8 {
+        let to = daemon_names()[at].clone();
+        heartbeat(&mut cluster, &to, &Heartbeat { sequence, ..foreign.clone() });
+        cluster.run(SECOND);
+    }
+    assert!(cluster.releases.is_empty(), "{:?}", cluster.releases);
+    assert!(cluster.heads_in_view.contains(&head));
+    assert_eq!(cluster.open_groups(), before);
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
+/// An address is used again by an endpoint of another service, which ends the one before.
+#[test]
+fn heartbeat_of_a_named_service_at_the_address_of_an_endpoint_ends_that_one() {
+    let mut cluster = serving_cluster(1);
+    let head = cluster.heads()[0].clone();
+    cluster.kill_engines(std::slice::from_ref(&head));
+    let next = Heartbeat {
+        id: "next".into(),
+        started_unix_ms: 9,
+        membership: None,
+        ..cluster.engines[&head].heartbeat()
+    };
+    let to = daemon_names()[1].clone();
+    heartbeat(&mut cluster, &to, &next);
+    cluster.run(SECOND / 4);
+    assert_eq!(unaware(&cluster, &head), Vec::<Name>::new());
+}
+
+/// A configuration may name a service after its endpoints have sent heartbeats.
+#[test]
+fn address_counts_as_used_again_once_the_service_is_named() {
+    let mut table = Table::default();
+    let now = Instant::from_millis(1000);
+    let at = |id: &str, started_unix_ms, sequence| Heartbeat {
+        id: id.into(),
+        address: "10.0.0.1:1".into(),
+        started_unix_ms,
+        sequence,
+        ..Heartbeat::default()
+    };
+    assert!(table.record_heartbeat(at("old", 1, 1), now, true));
+    assert!(table.record_heartbeat(at("new", 2, 1), now, false));
+    assert!(!table.find("old").expect("old").confirmed_dead);
+    assert!(table.record_heartbeat(at("new", 2, 2), now, true));
+    assert!(table.find("old").expect("old").confirmed_dead);
+    assert!(!table.record_heartbeat(at("older", 1, 1), now, true), "an earlier one holds nothing");
+}
