A refusal that names no request counts only if it can be told whose it is

Cause: a faulty endpoint sends bytes like a refusal after a complete response; on a kept connection they arrive where the next response is expected, and a refusal need not name its request. A pause, a limit and a leave were taken from such bytes as well, and from responses to other requests.

Change: exchange/matching.rs finds the response that belongs to the request. A refusal without an id on a connection that has carried another request is followed by a further exchange, as responses come in order; where that tells nothing, the outcome is unknown and the endpoint gets new connections for a minute. Responses to earlier requests of the connection are skipped. Nothing is recorded of responses that belong to no request. EventStream moves to a file of its own.

--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -219,6 +219,8 @@
     Repeated,
     /// The response names another request or none.
     WrongRequest,
+    /// A refusal names no request, and may be one of another request while this one runs.
+    UnclearRefusal,
     /// The response has no signature.
     Unsigned,
     /// The body has a content encoding.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -17,6 +17,7 @@
 use smol::Timer;
 
 use crate::clock;
+use crate::exchange::{Doubted, Incoming};
 use crate::http::{accept_all, accept_waiting, Connection, Framing, Headers, ResponseHead};
 use crate::journal;
 use crate::links::{Event as LinkEvent, Links};
@@ -86,6 +87,8 @@
 
 /// The reducer of an entry daemon and what carries out its effects.
 pub struct Shell<Platform> {
+    /// Translation of the platform's protocol.
+    protocol: Platform,
     /// The reducer.
     state: RefCell<State<Platform>>,
     /// Requests being handled, by their number.
@@ -138,6 +141,7 @@
         clock::now(),
     );
     let shell = Rc::new(Shell {
+        protocol: config.protocol.clone(),
         state: RefCell::new(state),
         handles: RefCell::default(),
         links: RefCell::new(None),
@@ -305,6 +309,24 @@
         }
     }
 
+    /// Records to what a refusal that named no request has turned out to belong.
+    pub(crate) fn record_doubt(&self, incoming: &Incoming, attempt: &Attempt, outcome: Doubted) {
+        self.meter.count(&format!("refusal.doubted.{outcome}"));
+        let detail = format!("endpoint={} outcome={outcome}", attempt.target);
+        let event = log_events::Event::new(127, "refusal in doubt", &*incoming.request_id, detail);
+        journal::write(&event);
+    }
+
+    /// Records that a response to an earlier request was skipped.
+    pub(crate) fn record_skipped(&self) {
+        self.meter.count("response.skipped");
+    }
+
+    /// Translation of the platform's protocol.
+    pub(crate) fn protocol(&self) -> &Platform {
+        &self.protocol
+    }
+
     /// Reads the pause that an endpoint asks for; none if there is none, or it is ignored.
     fn read_pause(&self, headers: &Headers) -> Option<Pause> {
         match pauses::parse(headers.find(Platform::HEADERS.pause)?) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,8 +1,6 @@
 //! One attempt to get a response from an endpoint: sends the request and reads the response up to
 //! the first part that can be forwarded.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use dotterelhoist_fleet::document::Kind;
 use dotterelhoist_fleet::entry::{Attempt, End, Loss};
@@ -10,29 +8,28 @@
 
 use crate::clock;
 use crate::entry::Shell;
-use crate::events::{ends_inside_event, Event, Splitter};
+use crate::events::ends_inside_event;
 use crate::http::{
-    is_hop_by_hop, push_header, within, BodyReader, Connection, Error, Framing, Headers,
-    RequestHead, ResponseHead,
+    is_hop_by_hop, push_header, Connection, Error, Framing, Headers, RequestHead, ResponseHead,
 };
 use crate::memory::Reservation;
 use crate::protocol::Protocol;
 use crate::upstream;
 
+use self::matching::{find_response, Match};
+
+pub(crate) use self::matching::Doubted;
+pub(crate) use self::stream::EventStream;
+
+mod matching;
+mod stream;
+
 /// Longest head of an endpoint's response; a longer one ends the attempt as [`End::Lost`].
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Longest body of a response that is read completely before it is forwarded; a longer one ends the
 /// attempt as [`End::Lost`]. Event streams are not limited.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
-/// Bytes of events that the caller has, which one stream may repeat before others; a stream that
-/// repeats more ends the attempt as [`End::Lost`].
-const MAX_REPEATED_BYTES: usize = 1 << 20;
-/// Longest body of a response that declines a request, after which the connection is reused.
-const MAX_DECLINED_BODY_BYTES: usize = 16 << 10;
-/// Time for the body of a response that declines a request; after that the connection is closed.
-const DECLINED_BODY_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// A request as received from the caller.
 #[derive(Debug)]
 pub(crate) struct Incoming {
@@ -68,105 +65,6 @@
     _reservation: Reservation,
 }
 
-/// An event stream that an endpoint sends.
-#[derive(Debug)]
-pub(crate) struct EventStream {
-    /// Head as the endpoint sent it.
-    pub head: ResponseHead,
-    /// Complete events that have been read and not yet been taken.
-    pub events: Vec<Event>,
-    /// Whether the endpoint has ended the stream.
-    pub ended: bool,
-    /// Id of the last event that was read, or that the caller had before.
-    last_event_id: Option<u64>,
-    /// Bytes of events that were skipped since the last new one.
-    repeated_bytes: usize,
-    connection: Connection,
-    body: BodyReader,
-    splitter: Splitter,
-    /// Memory that the event holds which has not arrived completely.
-    reservation: Reservation,
-}
-
-impl EventStream {
-    /// Reads until there are events to forward, or the stream ends. Events whose id is not above the
-    /// last one are skipped, because the caller has them.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`End::Lost`] if the stream breaks off.
-    pub(crate) async fn fill<Platform>(
-        &mut self,
-        shell: &Shell<Platform>,
-        request_id: &Name,
-        target: &Name,
-    ) -> Result<(), End>
-    where
-        Platform: Protocol,
-    {
-        while self.events.is_empty() && !self.ended {
-            let part = self.connection.read_part(&mut self.body).await.map_err(loss_of)?;
-            match part {
-                Some(part) => {
-                    shell.record_progress(target);
-                    self.splitter.push(&part);
-                    self.split_events().map_err(End::Lost)?;
-                    if !self.reservation.resize(self.splitter.unfinished_bytes()) {
-                        return Err(End::Lost(Loss::NoMemory));
-                    }
-                }
-                None => {
-                    let unfinished_bytes = self.splitter.unfinished_bytes();
-                    let framing = self.head.framing;
-                    shell.record_stream_end(request_id, target, framing, unfinished_bytes);
-                    self.end().map_err(End::Lost)?;
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Moves the complete events to `events`.
-    fn split_events(&mut self) -> Result<(), Loss> {
-        while let Some(event) = self.splitter.next().map_err(|_| Loss::EventTooLong)? {
-            if event.is_known(self.last_event_id) {
-                self.repeated_bytes += event.bytes.len();
-                if self.repeated_bytes > MAX_REPEATED_BYTES {
-                    return Err(Loss::Repeated);
-                }
-                continue;
-            }
-            self.repeated_bytes = 0;
-            self.last_event_id = event.id.or(self.last_event_id);
-            self.events.push(event);
-        }
-        Ok(())
-    }
-
-    /// Decides whether the stream is complete now that its body has ended. Inside an event it has
-    /// broken off, whatever ended the body. Otherwise what follows the last event, such as a comment,
-    /// is moved to `events`.
-    fn end(&mut self) -> Result<(), Loss> {
-        if self.splitter.is_inside_event() {
-            return Err(Loss::CutInEvent);
-        }
-        self.ended = true;
-        let rest = self.splitter.take_rest();
-        if !rest.is_empty() {
-            self.events.push(Event::rest(rest));
-        }
-        Ok(())
-    }
-
-    /// Returns the connection to the pool, after the stream has ended.
-    pub(crate) fn release<Platform>(self, shell: &Shell<Platform>, attempt: &Attempt)
-    where
-        Platform: Protocol,
-    {
-        return_connection(shell, attempt, self.connection, &self.head);
-    }
-}
-
 /// Sends the request to an endpoint and reads its response. With `last_event_id`, a stream is resumed
 /// after that event.
 ///
@@ -184,39 +82,27 @@
     Platform: Protocol,
 {
     let mut reservation = shell.response_memory.reserve();
-    let mut connection = connect(shell, attempt).await.ok_or(End::Unreachable)?;
+    let mut connection = connect(shell, incoming, attempt).await.ok_or(End::Unreachable)?;
     // The pause may have begun while the connection was being established.
     if shell.is_barred(&attempt.target) {
         return Err(End::Withheld);
     }
     let bytes = encode_request::<Platform>(incoming, attempt, last_event_id);
     connection.write(&bytes).await.map_err(|_| End::Lost(Loss::Failed))?;
-    let head = connection.read_response_head(&incoming.head.method, MAX_HEAD_BYTES).await;
-    let head = head.map_err(loss_of)?;
-    if !attempt.relay {
-        shell.record_response_head(&attempt.target, &head);
-    }
+    let found = find_response(shell, incoming, attempt, &mut connection, &mut reservation).await?;
+    let head = match found {
+        Match::Response(head) => head,
+        Match::Refusal { head, reusable } => {
+            record_head(shell, attempt, &head);
+            if reusable {
+                return_connection(shell, incoming, attempt, connection, &head);
+            }
+            return Err(End::Declined { status: head.status });
+        }
+    };
+    record_head(shell, attempt, &head);
     let headers = &head.headers;
-    let echoed = headers.find(Platform::HEADERS.request_id);
     let is_signed = headers.find(Platform::HEADERS.signature).is_some();
-    let declined = match attempt.relay && !is_signed {
-        true => is_refusal(head.status),
-        false => headers.find(Platform::HEADERS.declined).is_some() || head.status == 421,
-    };
-    if echoed.is_some_and(|echoed| echoed != &*incoming.request_id) {
-        return Err(End::Lost(Loss::WrongRequest));
-    }
-    if declined {
-        let status = head.status;
-        let body = connection.read_body(head.framing, MAX_DECLINED_BODY_BYTES, &mut reservation);
-        if matches!(within(DECLINED_BODY_TIMEOUT, body).await, Some(Ok(_))) {
-            return_connection(shell, attempt, connection, &head);
-        }
-        return Err(End::Declined { status });
-    }
-    if echoed.is_none() {
-        return Err(End::Lost(Loss::WrongRequest));
-    }
     if !is_signed {
         return Err(End::Lost(Loss::Unsigned));
     }
@@ -226,17 +112,8 @@
     let success = (200..300).contains(&head.status);
     let has_events = is_event_stream(headers);
     if success && has_events && attempt.route.kind == Kind::Streaming {
-        let mut stream = Box::new(EventStream {
-            body: BodyReader::new(head.framing),
-            head,
-            events: Vec::new(),
-            ended: false,
-            last_event_id,
-            repeated_bytes: 0,
-            connection,
-            splitter: Splitter::open(last_event_id.is_some()),
-            reservation,
-        });
+        let stream = EventStream::open(head, connection, reservation, last_event_id);
+        let mut stream = Box::new(stream);
         stream.fill(shell, &incoming.request_id, &attempt.target).await?;
         return Ok(Reply::Stream(stream));
     }
@@ -245,18 +122,24 @@
     if has_events && ends_inside_event(&body) {
         return Err(End::Lost(Loss::CutInEvent));
     }
-    return_connection(shell, attempt, connection, &head);
+    return_connection(shell, incoming, attempt, connection, &head);
     let message = Message { head, body, _reservation: reservation };
     Ok(if success { Reply::Complete(message) } else { Reply::Error(message) })
 }
 
 /// An idle connection to the endpoint or relay of an attempt, or a new one; none if the connect fails or
-/// takes too long.
-async fn connect<Platform>(shell: &Shell<Platform>, attempt: &Attempt) -> Option<Connection>
+/// takes too long. One that has carried a request with this id is not used, as the responses could not be
+/// told apart.
+async fn connect<Platform>(
+    shell: &Shell<Platform>,
+    incoming: &Incoming,
+    attempt: &Attempt,
+) -> Option<Connection>
 where
     Platform: Protocol,
 {
-    if let Some(connection) = shell.pool.take(&attempt.address) {
+    let idle = shell.pool.take(&attempt.address);
+    if let Some(connection) = idle.filter(|idle| !idle.has_carried(&incoming.request_id)) {
         return Some(connection);
     }
     let connection = upstream::connect(&attempt.address).await?;
@@ -343,16 +226,28 @@
     bytes
 }
 
+/// Records what the response of an endpoint states about the endpoint. A relay states nothing.
+fn record_head<Platform>(shell: &Shell<Platform>, attempt: &Attempt, head: &ResponseHead)
+where
+    Platform: Protocol,
+{
+    if !attempt.relay {
+        shell.record_response_head(&attempt.target, head);
+    }
+}
+
 /// Returns a connection to the pool after its response has been read completely.
 fn return_connection<Platform>(
     shell: &Shell<Platform>,
+    incoming: &Incoming,
     attempt: &Attempt,
-    connection: Connection,
+    mut connection: Connection,
     head: &ResponseHead,
 ) where
     Platform: Protocol,
 {
     if head.keep_alive {
+        connection.record_carried(&incoming.request_id);
         shell.pool.put_back(&attempt.address, connection, head.headers.find("keep-alive"));
     }
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -14,8 +14,10 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
+use dotterelhoist_fleet::Name;
 use dotterelhoist_wire::stream::Turn;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt, FutureExt};
+use smallvec::SmallVec;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 
@@ -35,6 +37,8 @@
 
 /// Size of the buffer for one read from a socket.
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Requests of which a connection keeps the ids, to tell responses that come once more.
+const MAX_CARRIED_IDS: usize = 4;
 /// Delay before the next attempt to accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(25);
 
@@ -76,13 +80,34 @@
     pub buffer: BytesMut,
     /// Lets other tasks run while bytes arrive faster than they are handled.
     turn: Turn,
+    /// Ids of the last [`MAX_CARRIED_IDS`] requests that were sent on it, the newest last.
+    carried: SmallVec<[Name; 2]>,
 }
 
 impl Connection {
     /// Wraps a socket and disables Nagle's algorithm on it.
     pub fn open(stream: TcpStream) -> Connection {
         stream.set_nodelay(true).ok();
-        Connection { stream, buffer: BytesMut::new(), turn: Turn::default() }
+        let carried = SmallVec::new();
+        Connection { stream, buffer: BytesMut::new(), turn: Turn::default(), carried }
+    }
+
+    /// Records that it has carried the request with this id.
+    pub fn record_carried(&mut self, id: &Name) {
+        if self.carried.len() == MAX_CARRIED_IDS {
+            self.carried.remove(0);
+        }
+        self.carried.push(id.clone());
+    }
+
+    /// Whether it has carried the request with this id, of late.
+    pub fn has_carried(&self, id: &str) -> bool {
+        self.carried.iter().any(|carried| **carried == *id)
+    }
+
+    /// Whether it has carried no request.
+    pub fn is_new(&self) -> bool {
+        self.carried.is_empty()
     }
 
     /// Reads once into the buffer and returns the number of bytes; 0 means that the other side has
@@ -92,7 +117,7 @@
     ///
     /// Returns the error of the socket.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let Connection { stream, buffer, turn } = self;
+        let Connection { stream, buffer, turn, .. } = self;
         // The bytes are read onto the stack of a poll: a future that held them would be large, and so
         // would each request's task.
         let read = poll_fn(|context| {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -191,7 +191,7 @@
                 shell.record_write(id, false);
             }
             if stream.ended {
-                stream.release(shell, attempt);
+                stream.release(shell, incoming, attempt);
                 return End::Answered;
             }
             if let Err(end) = stream.fill(shell, &incoming.request_id, &attempt.target).await {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,6 +24,10 @@
 /// Idle connections kept per endpoint; further ones are closed after their response.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
+/// Time for which requests to an endpoint go out on new connections after a refusal of it could not be
+/// told from bytes that belong to no request.
+const DISTRUST_TIME: Duration = Duration::from_secs(60);
+
 /// An idle connection to an endpoint.
 #[derive(Debug)]
 struct IdleConnection {
@@ -37,6 +41,8 @@
 pub(crate) struct Pool {
     /// Idle connections by the address of the endpoint, the most recently used last.
     idle: Rc<RefCell<HashMap<Name, Vec<IdleConnection>>>>,
+    /// Endpoints whose connections are not reused, by address, and until when.
+    distrusted: Rc<RefCell<HashMap<Name, Instant>>>,
 }
 
 impl Pool {
@@ -71,6 +77,9 @@
             .unwrap_or(DEFAULT_IDLE_TIMEOUT)
             .min(DEFAULT_IDLE_TIMEOUT * 2)
             .saturating_sub(IDLE_MARGIN);
+        if self.distrusted.borrow().get(address).is_some_and(|until| clock::now() < *until) {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(address.clone()).or_default();
         if list.len() < MAX_IDLE_PER_ENDPOINT && !idle_time.is_zero() {
@@ -78,6 +87,13 @@
         }
     }
 
+    /// Closes the idle connections to an endpoint, and those that are put back within
+    /// [`DISTRUST_TIME`].
+    pub(crate) fn distrust(&self, address: &Name) {
+        self.idle.borrow_mut().remove(address);
+        self.distrusted.borrow_mut().insert(address.clone(), clock::now() + DISTRUST_TIME);
+    }
+
     /// Closes all connections.
     pub(crate) fn clear(&self) {
         self.idle.borrow_mut().clear();
@@ -86,6 +102,7 @@
     /// Closes the connections that have been idle for too long to be reused.
     pub(crate) fn close_expired(&self) {
         let now = clock::now();
+        self.distrusted.borrow_mut().retain(|_, until| now < *until);
         self.idle.borrow_mut().retain(|_, list| {
             list.retain(|idle| now < idle.reusable_until);
             !list.is_empty()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -27,12 +27,16 @@
 mod endless;
 #[path = "platform/engine.rs"]
 mod engine;
+#[path = "platform/extras.rs"]
+mod extras;
 #[path = "platform/floods.rs"]
 mod floods;
 #[path = "platform/forwarding.rs"]
 mod forwarding;
 #[path = "platform/relays.rs"]
 mod relays;
+#[path = "platform/scripts.rs"]
+mod scripts;
 #[path = "platform/seeds.rs"]
 mod seeds;
 #[path = "platform/seeds_soak.rs"]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -22,6 +22,7 @@
 use crate::daemon::{self, address, unique_ips, Build, Settings, PORTS};
 use crate::engine::{unlimited, Engine, Handle, Limit, Rest, Runs, Silence};
 use crate::floods::Flood;
+use crate::scripts::Scripts;
 
 /// Number of control daemons of a deployment.
 pub const CONTROL_DAEMONS: usize = 3;
@@ -78,6 +79,8 @@
     rest: Arc<Mutex<Rest>>,
     /// Streams that end in an unusual way.
     pub cuts: Cuts,
+    /// Responses of which a test states each byte.
+    pub scripts: Scripts,
     /// Requests that end engines.
     pub crashes: Crashes,
     /// Whether engines send interim responses without end after they have carried out an order.
@@ -107,6 +110,7 @@
             silence: Silence::default(),
             rest: Arc::default(),
             cuts: Cuts::default(),
+            scripts: Scripts::default(),
             crashes: Crashes::default(),
             endless_orders: Arc::default(),
             label_count: AtomicU64::new(0),
@@ -118,19 +122,7 @@
         deployment.entry = Some(deployment.spawn(build, &deployment.ips[CONTROL_DAEMONS], false));
         for index in 0..6 {
             let service = if index < 5 { "llm" } else { "desk" };
-            let engine = Engine {
-                id: format!("i-{index}"),
-                service,
-                control_addresses: deployment.control_addresses(),
-                runs: deployment.runs.clone(),
-                limit: deployment.limit.clone(),
-                silence: deployment.silence.clone(),
-                rest: deployment.rest.clone(),
-                cuts: deployment.cuts.clone(),
-                crashes: deployment.crashes.clone(),
-                endless_orders: deployment.endless_orders.clone(),
-            };
-            deployment.engines.push(Some(engine.start()));
+            deployment.start_engine(&format!("i-{index}"), service);
         }
         deployment.put(7);
         let ready = deployment.poll(WAIT_TIMEOUT, |deployment| {
@@ -144,6 +136,24 @@
         deployment
     }
 
+    /// Starts a stand-in for an endpoint of a service.
+    pub fn start_engine(&mut self, id: &str, service: &'static str) {
+        let engine = Engine {
+            id: id.to_owned(),
+            service,
+            control_addresses: self.control_addresses(),
+            runs: self.runs.clone(),
+            limit: self.limit.clone(),
+            silence: self.silence.clone(),
+            rest: self.rest.clone(),
+            cuts: self.cuts.clone(),
+            scripts: self.scripts.clone(),
+            crashes: self.crashes.clone(),
+            endless_orders: self.endless_orders.clone(),
+        };
+        self.engines.push(Some(engine.start()));
+    }
+
     /// Writes the settings file of a daemon and starts it: a control daemon if `control` is set, an
     /// entry daemon otherwise.
     fn spawn(&self, build: Build, ip: &str, control: bool) -> Child {
@@ -519,18 +529,20 @@
 }
 
 /// Configuration document of all tests: a streaming route that allows 2 attempts, and routes whose
-/// requests are not idempotent: one and `more` further ones.
+/// requests are not idempotent: one, one that allows 2 attempts, and `more` further ones.
 pub fn document(version: u64, more: usize) -> serde_json::Value {
     let booking = |name: &str| {
+        let attempts = if name == "rebook" { 2 } else { 1 };
         json!({ "name": name, "host": "h.example", "path_prefix": format!("/{name}/"),
                 "route_type": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 500,
-                "service": "desk", "attempts": 1 })
+                "service": "desk", "attempts": attempts })
     };
     let mut routes = vec![
         json!({ "name": "stream", "host": "h.example", "path_prefix": "/stream/",
                 "route_type": "streaming", "timeout_ms": 6000, "target_latency_ms": 500,
                 "service": "llm", "attempts": if version < 100 { 2 } else { 3 }, "resumable": true }),
         booking("book"),
+        booking("rebook"),
     ];
     routes.extend((0..more).map(|number| booking(&format!("more{number}"))));
     let model = json!({ "name": "m", "size": if version < 100 { 2 } else { 1 }, "share": 1.0, "pace": 1.0, "load_s": 1, "warm_s": 1 });
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -17,6 +17,7 @@
 use super::crashes::{Crashes, RESTART_TIME};
 use super::cuts::{Cut, Cuts, Framing};
 use super::floods::{self, Flood};
+use super::scripts::{Next, Scripts};
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -142,6 +143,8 @@
     pub rest: Arc<Mutex<Rest>>,
     /// Streams that end in an unusual way, shared by all stand-ins.
     pub cuts: Cuts,
+    /// Responses of which a test states each byte, shared by all stand-ins.
+    pub scripts: Scripts,
     /// Requests that end it, shared by all stand-ins.
     pub crashes: Crashes,
     /// Whether it sends interim responses without end after it has carried out an order, shared by
@@ -230,7 +233,7 @@
     /// Serves the requests of one connection until it is closed.
     async fn serve_connection(&self, stream: TcpStream, shared: &Shared) -> Option<()> {
         let mut connection = Connection::open(stream);
-        loop {
+        for carried in 0u64.. {
             let head = connection.read_request_head(16 << 10).await.ok()?;
             let body = connection.read_body(head.framing, 1 << 20, &mut unlimited()).await.ok()?;
             match &*head.target {
@@ -247,24 +250,27 @@
                     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                     connection.write(format!("{head}{body}").as_bytes()).await.ok()?;
                 }
-                _ => self.run(&mut connection, &head, &body, shared).await?,
+                _ => self.run(&mut connection, &head, &body, shared, carried > 0).await?,
             }
             if !head.keep_alive {
                 return Some(());
             }
         }
+        None
     }
 
     /// Runs a request of a caller and counts the run. A booking is answered at once; a stream sends
     /// the events after the one in the `Last-Event-ID` header, or all without one. The body of the
     /// request may end with the number of events, after a space. A request that is meant for another
     /// instance is refused with 421 and not counted. A [`Silence`] holds up each part of a response.
+    /// `kept` says whether the connection has carried a request before.
     async fn run(
         &self,
         connection: &mut Connection,
         head: &RequestHead,
         body: &[u8],
         shared: &Shared,
+        kept: bool,
     ) -> Option<()> {
         let id = head.headers.find("dotterelhoist-request-id")?.to_owned();
         let expected = head.headers.find("dotterelhoist-expect-instance")?;
@@ -284,8 +290,17 @@
             );
             return connection.write(line.as_bytes()).await.ok();
         }
-        if let Ok(mut runs) = self.runs.lock() {
-            *runs.entry(id.clone()).or_default() += 1;
+        // Bytes ahead of a response follow an earlier one.
+        let script = self.scripts.next(&id).filter(|script| script.next != Next::Run || kept);
+        if script.as_ref().is_none_or(|script| script.runs) {
+            if let Ok(mut runs) = self.runs.lock() {
+                *runs.entry(id.clone()).or_default() += 1;
+            }
+        }
+        if let Some(script) = script {
+            if !script.play(connection, &id).await? {
+                return Some(());
+            }
         }
         if self.crashes.arrive(&head.headers) {
             Timer::after(EVENT_INTERVAL).await;
--- a/tests/platform/relays.rs
+++ b/tests/platform/relays.rs
@@ -17,6 +17,8 @@
 
 use super::daemon::{Build, PORTS};
 use super::deployment::{document, event_ids, Deployment};
+use super::engine::unlimited;
+use super::scripts::{Next, Script, Scripts, ID};
 use super::{RECOVERY_TIMEOUT, REQUESTS};
 
 /// Version of the configuration document of the stand-in, which is that of the deployment.
@@ -37,10 +39,15 @@
 impl CutOff {
     /// Starts the stand-in and the entry daemon, and waits until the daemon serves a request.
     fn start(deployment: &Deployment) -> CutOff {
+        CutOff::start_with_relay(deployment, deployment.entry_ip())
+    }
+
+    /// Like [`CutOff::start`], with another relay.
+    fn start_with_relay(deployment: &Deployment, relay: &str) -> CutOff {
         let [control_ip, ip] = unique_ips();
         let address: SocketAddr = format!("{control_ip}:{}", PORTS.links).parse().expect("valid");
         let (stop, stopped) = smol::channel::bounded::<()>(1);
-        let relay = deployment.entry_ip().to_owned();
+        let relay = relay.to_owned();
         let listener = smol::block_on(TcpListener::bind(address)).expect("the address is free");
         std::thread::spawn(move || {
             let executor = Rc::new(smol::LocalExecutor::new());
@@ -68,6 +75,72 @@
     }
 }
 
+/// A stand-in for a relay, which answers each request by a script or with a response that an endpoint has
+/// signed; it stops when it is dropped.
+struct ScriptedRelay {
+    ip: String,
+    scripts: Scripts,
+    /// Closed on drop, which ends its thread.
+    _stop: smol::channel::Sender<()>,
+}
+
+impl ScriptedRelay {
+    fn start() -> ScriptedRelay {
+        let [ip, _] = unique_ips();
+        let address: SocketAddr = format!("{ip}:{}", PORTS.links).parse().expect("valid");
+        let listener = smol::block_on(TcpListener::bind(address)).expect("the address is free");
+        let (stop, stopped) = smol::channel::bounded::<()>(1);
+        let scripts = Scripts::default();
+        let relay = ScriptedRelay { ip, scripts: scripts.clone(), _stop: stop };
+        std::thread::spawn(move || {
+            let executor = Rc::new(smol::LocalExecutor::new());
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let scripts = scripts.clone();
+                    executor.spawn(async move { answer_all(stream, &scripts).await }).detach();
+                }
+            };
+            let stop_requested = async {
+                stopped.recv().await.ok();
+            };
+            smol::block_on(executor.run(futures_lite::FutureExt::or(accept, stop_requested)));
+        });
+        relay
+    }
+}
+
+/// Answers the requests on a connection; those without a script, and further exchanges, at once.
+async fn answer_all(stream: TcpStream, scripts: &Scripts) -> Option<()> {
+    let mut connection = dotterelhoist_gateway::http::Connection::open(stream);
+    for carried in 0u64.. {
+        let head = connection.read_request_head(16 << 10).await.ok()?;
+        connection.read_body(head.framing, 1 << 20, &mut unlimited()).await.ok()?;
+        let id = head.headers.find("dotterelhoist-request-id")?.to_owned();
+        let script = scripts.next(&id).filter(|script| script.next != Next::Run || carried > 0);
+        if let Some(script) = script {
+            if !script.play(&mut connection, &id).await? {
+                continue;
+            }
+        }
+        let line = match &*head.target {
+            "/report" => format!(
+                "HTTP/1.1 404 Not Found\r\nDotterelhoist-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            ),
+            _ => signed_response(&id),
+        };
+        connection.write(line.as_bytes()).await.ok()?;
+    }
+    None
+}
+
+/// A response that an endpoint has signed.
+fn signed_response(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nDotterelhoist-Request-Id: {id}\r\nDotterelhoist-Response-Seal: s\r\n\
+         Content-Length: 4\r\n\r\ndone"
+    )
+}
+
 /// Two IP addresses that no other process of this test uses.
 fn unique_ips() -> [String; 2] {
     static COUNT: AtomicU64 = AtomicU64::new(0);
@@ -173,3 +246,48 @@
     assert!(matches!(reply.status, 429 | 503), "{}", reply.status);
     assert_eq!(deployment.run_count("late-1"), 0);
 }
+
+/// Guards against REFUSED over one hop: bytes like a refusal ahead of the response of a relay, or of the endpoint behind it.
+#[test]
+fn refusal_that_belongs_to_no_request_is_not_taken_for_the_answer_of_a_relay() {
+    let deployment = Deployment::start();
+    let relay = ScriptedRelay::start();
+    let cut_off = CutOff::start_with_relay(&deployment, &relay.ip);
+    let refusals = [
+        "HTTP/1.1 503 Shed\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 Shed\r\nRetry-After: 30\r\nContent-Length: 4\r\n\r\nfull",
+        "HTTP/1.1 503 Shed\r\nDotterelhoist-Request-Id: e-1\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for (number, refusal) in refusals.iter().cycle().take(9).enumerate() {
+        let earlier = deployment.book_through(&cut_off.ip, "e-1").expect("a complete response");
+        assert_eq!(earlier.status, 200);
+        let id = format!("x{number}-1");
+        relay.scripts.plan(&id, [Script::run(*refusal, Next::Run)]);
+        let reply = deployment.book_through(&cut_off.ip, &id).expect("a complete response");
+        assert_eq!((reply.status, &*reply.body), (200, "done"), "{refusal}");
+    }
+    let refusal = Script::refuse(refusals[0], Next::Request);
+    relay.scripts.plan("y-1", [refusal]);
+    let reply = deployment.book_through(&cut_off.ip, "y-1").expect("a complete response");
+    assert_eq!(reply.status, 503, "a true refusal is passed on");
+}
+
+/// Guards against MIXED: a relay that ends while it writes must not leave an answer that looks complete.
+#[test]
+fn response_of_a_relay_that_stops_at_any_byte_is_no_answer() {
+    let deployment = Deployment::start();
+    let relay = ScriptedRelay::start();
+    let cut_off = CutOff::start_with_relay(&deployment, &relay.ip);
+    let response = signed_response(ID);
+    for length in (0..response.len()).step_by(7).chain(response.len() - 8..response.len()) {
+        let next = if length % 2 == 0 { Next::Close } else { Next::Reset };
+        let status = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+            let id = format!("{}1", deployment.unique_label());
+            relay.scripts.plan(&id, [Script::run(&response[..length], next)]);
+            let reply = deployment.book_through(&cut_off.ip, &id).expect("a complete response");
+            // After lost answers the daemon may pause before it sends more to the relay.
+            (reply.status != 503 && reply.status != 429).then_some(reply.status)
+        });
+        assert_eq!(status, Some(502), "{:?} then {next:?}", &response[..length]);
+    }
+}
