One place decides what may continue a stream that has begun

Errors and complete responses were refused before.

Cause: any 2xx response with the media type of a stream was taken.

Change: Reply::continues and EventStream decide by status, media type, encoding, ids and framing, for the next attempt, the one beside it and a relay; all else is a cut. A held error is never written into a response that has begun.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -54,6 +54,14 @@
     Stream(Box<EventStream>),
 }
 
+impl Reply {
+    /// Whether it can continue a response that has begun with this status: only a stream like the one
+    /// that has begun can. Which events continue it, [`EventStream`] decides.
+    pub(crate) fn continues(&self, status: u16) -> bool {
+        matches!(self, Reply::Stream(stream) if stream.head.status == status)
+    }
+}
+
 /// A response that was read completely.
 #[derive(Debug)]
 pub(crate) struct Message {
--- a/crates/gateway/src/exchange/stream.rs
+++ b/crates/gateway/src/exchange/stream.rs
@@ -5,7 +5,7 @@
 
 use crate::entry::Shell;
 use crate::events::{Event, Splitter};
-use crate::http::{BodyReader, Connection, ResponseHead};
+use crate::http::{BodyReader, Connection, Framing, ResponseHead};
 use crate::memory::Reservation;
 use crate::protocol::Protocol;
 
@@ -26,6 +26,10 @@
     pub ended: bool,
     /// Id of the last event that was read, or that the caller had before.
     last_event_id: Option<u64>,
+    /// Whether it goes on after an event that the caller has.
+    continues: bool,
+    /// Whether an event was read that the caller does not have.
+    has_new: bool,
     /// Bytes of events that were skipped since the last new one.
     repeated_bytes: usize,
     connection: Connection,
@@ -51,6 +55,8 @@
             events: Vec::new(),
             ended: false,
             last_event_id,
+            continues,
+            has_new: false,
             repeated_bytes: 0,
             connection,
             splitter: Splitter::open(continues),
@@ -106,7 +112,11 @@
                 }
                 continue;
             }
+            if self.continues && event.has_data && event.id.is_none() {
+                return Err(Loss::NotContinued);
+            }
             self.repeated_bytes = 0;
+            self.has_new |= event.has_data;
             self.last_event_id = event.id.or(self.last_event_id);
             self.events.push(event);
         }
@@ -121,6 +131,9 @@
         if self.splitter.is_inside_event() {
             return Err(Loss::CutInEvent);
         }
+        if self.continues && !self.has_new && self.head.framing == Framing::UntilClose {
+            return Err(Loss::NotContinued);
+        }
         self.ended = true;
         let rest = self.splitter.take_rest();
         if !rest.is_empty() {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -52,7 +52,7 @@
 
     /// Whether sending the response has begun, so that a refusal can only cut it off.
     pub(crate) fn has_begun(&self) -> bool {
-        self.progress.begun.get()
+        self.progress.status.get().is_some()
     }
 
     /// Whether the connection stays open after the response.
@@ -147,11 +147,10 @@
             None => fetch(shell, incoming, &attempt, last_event_id).await,
         };
         match reply {
+            Ok(reply) if !self.progress.accepts(&reply) => End::Lost(Loss::NotContinued),
             Ok(Reply::Stream(stream)) => {
                 self.forward_events(shell, incoming, &attempt, *stream).await
             }
-            // Only an event stream can continue a response that has begun.
-            Ok(_) if self.has_begun() => End::Lost(Loss::NotContinued),
             Ok(Reply::Complete(message)) => {
                 shell.record_write(incoming.id, true);
                 self.output.send_complete(&message).await;
@@ -187,7 +186,7 @@
             if !bytes.is_empty() {
                 shell.record_response_start(id);
                 shell.record_write(id, true);
-                self.output.send(&bytes).await;
+                self.output.send(stream.head.status, &bytes).await;
                 shell.record_write(id, false);
             }
             if stream.ended {
@@ -200,8 +199,13 @@
         }
     }
 
-    /// Forwards the held error response of an endpoint.
+    /// Forwards the held error response of an endpoint. If a response has begun, nothing is sent, and the
+    /// connection is closed as by [`Self::send_refusal`].
     pub(crate) async fn send_error_response(&mut self) {
+        if self.has_begun() {
+            self.output.keep_alive = false;
+            return;
+        }
         if let Some(message) = self.error_response.take() {
             self.output.send_complete(&message).await;
         }
--- a/crates/gateway/src/response/hedge.rs
+++ b/crates/gateway/src/response/hedge.rs
@@ -47,7 +47,7 @@
         match self.reply? {
             Reply::Error(message) => Err(End::Failed { status: message.head.status }),
             _ if progress.has_advanced() || progress.writing.get() => Err(End::Dropped),
-            Reply::Complete(_) if progress.begun.get() => Err(End::Lost(Loss::NotContinued)),
+            reply if !progress.accepts(&reply) => Err(End::Lost(Loss::NotContinued)),
             reply => Ok(Current { attempt: self.attempt, reply: Some(reply) }),
         }
     }
--- a/crates/gateway/src/response/output.rs
+++ b/crates/gateway/src/response/output.rs
@@ -35,9 +35,9 @@
     /// that it is cut, also if this daemon ends.
     pub fn encode_events(&self, stream: &mut EventStream) -> Vec<u8> {
         let mut last_event_id = self.progress.last_event_id.get();
-        let mut bytes = match self.progress.begun.get() {
-            true => Vec::new(),
-            false => encode_head(&stream.head, Framing::Chunked, self.keep_alive),
+        let mut bytes = match self.progress.status.get() {
+            Some(_) => Vec::new(),
+            None => encode_head(&stream.head, Framing::Chunked, self.keep_alive),
         };
         for event in stream.events.drain(..) {
             if !event.is_known(last_event_id) {
@@ -57,12 +57,12 @@
         let Message { head, body, .. } = message;
         let mut bytes = encode_head(head, Framing::Length(body.len() as u64), self.keep_alive);
         if body.len() > MAX_COPIED_BYTES {
-            self.send(&bytes).await;
-            self.send(body).await;
+            self.send(head.status, &bytes).await;
+            self.send(head.status, body).await;
             return;
         }
         bytes.extend_from_slice(body);
-        self.send(&bytes).await;
+        self.send(head.status, &bytes).await;
     }
 
     /// Sends a refusal by the daemon itself, as the response to the request `request_id`, or without
@@ -84,13 +84,13 @@
             "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         ));
-        self.send(head.as_bytes()).await;
+        self.send(status, head.as_bytes()).await;
     }
 
-    /// Writes to the caller. After an error this never returns, because the caller has disconnected;
+    /// Writes a part of a response with this status to the caller. After an error this never returns, because the caller has disconnected;
     /// `wait_for_disconnect`, which runs concurrently while a request is handled, then ends the request.
-    pub async fn send(&mut self, bytes: &[u8]) {
-        self.progress.start_write();
+    pub async fn send(&mut self, status: u16, bytes: &[u8]) {
+        self.progress.start_write(status);
         if self.stream.write_all(bytes).await.is_err() {
             self.keep_alive = false;
             std::future::pending::<()>().await;
--- a/crates/gateway/src/response/progress.rs
+++ b/crates/gateway/src/response/progress.rs
@@ -2,11 +2,13 @@
 
 use std::cell::Cell;
 
+use crate::exchange::Reply;
+
 /// Progress of the response to the caller, which the current attempt and the one beside it share.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
-    /// Whether a part of the response has been sent, so that it can only be continued.
-    pub begun: Cell<bool>,
+    /// Status with which the response has begun, so that it can only be continued; none before.
+    pub status: Cell<Option<u16>>,
     /// Id of the last event that was sent.
     pub last_event_id: Cell<Option<u64>>,
     /// Whether a write to the caller is in progress. Another attempt can't take over then, because a
@@ -19,9 +21,14 @@
 }
 
 impl Progress {
-    /// Records that a write to the caller starts.
-    pub fn start_write(&self) {
-        self.begun.set(true);
+    /// Whether a reply can be sent: the response has not begun, or the reply continues it.
+    pub fn accepts(&self, reply: &Reply) -> bool {
+        self.status.get().is_none_or(|status| reply.continues(status))
+    }
+
+    /// Records that a write to the caller starts, of a response with this status.
+    pub fn start_write(&self, status: u16) {
+        self.status.set(Some(status));
         self.writes.set(self.writes.get() + 1);
         self.writing.set(true);
     }
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -238,3 +238,27 @@
         assert!(!connection.is_reusable());
     });
 }
+
+/// Guards against MIXED: no part of a response is taken for a whole one, wherever it stops.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 4\r\n\r\ndone")]
+#[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n")]
+#[case::trailer(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nA: b\r\n\r\n"
+)]
+#[case::empty("HTTP/1.1 503 Shed\r\nA: b\r\nContent-Length: 0\r\n\r\n")]
+#[case::none("HTTP/1.1 204 No Content\r\nA: b\r\n\r\n")]
+#[case::interim(
+    "HTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\nx"
+)]
+#[case::line_feeds("HTTP/1.1 200 OK\nA: b\nContent-Length: 4\n\ndone")]
+fn response_that_stops_at_any_byte_is_an_error(#[case] whole: &str) {
+    for length in 0..=whole.len() {
+        let read = smol::block_on(async {
+            let (mut connection, _) = connection_with(&whole.as_bytes()[..length], false).await;
+            let head = connection.read_response_head("POST", 1 << 10).await?;
+            connection.read_body(head.framing, 1 << 10, &mut unlimited()).await
+        });
+        assert_eq!(read.is_ok(), length == whole.len(), "{:?}: {read:?}", &whole[..length]);
+    }
+}
