Own interface: an answer on a kept connection has to name its request

Cause: answers were not compared with their request at all, and idle connections were taken without a look at what waits on them.

Change: endpoints repeat dotterelhoist-request in their answers.

--- a/crates/testkit/src/plain.rs
+++ b/crates/testkit/src/plain.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures_lite::AsyncWriteExt;
@@ -13,7 +13,7 @@
 use smol::{Task, Timer};
 
 use crate::engine::{Config, Engine, History};
-use crate::server::{self, Handler};
+use crate::server::{self, Handler, CARRIED_HEADER};
 
 /// How the service treats a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +44,17 @@
     behavior: Arc<AtomicU8>,
     /// Milliseconds that each call takes.
     delay_ms: Arc<AtomicU64>,
+    /// Bytes that are sent after a call has run.
+    bytes: Arc<Mutex<Option<RawBytes>>>,
+}
+
+/// Bytes that a service sends after it has run a call.
+#[derive(Clone, Debug)]
+pub struct RawBytes {
+    pub bytes: Vec<u8>,
+    /// Whether the answer to the call follows, on a connection that has carried another call before;
+    /// otherwise the connection is closed.
+    pub answer_follows: bool,
 }
 
 /// A running service, which also sends announcements. Dropping it stops both.
@@ -65,8 +76,12 @@
     pub async fn spawn(config: Config) -> Service {
         let (listener, address) = server::bind().await;
         let history = History::default();
-        let shared =
-            Shared { history: history.clone(), behavior: Arc::default(), delay_ms: Arc::default() };
+        let shared = Shared {
+            history: history.clone(),
+            behavior: Arc::default(),
+            delay_ms: Arc::default(),
+            bytes: Arc::default(),
+        };
         let task = smol::spawn(server::serve(listener, shared.clone()));
         let config = Config { plain: true, ..config };
         let announcer = Some(Engine::spawn_announcer(config, address));
@@ -78,6 +93,11 @@
         self.shared.behavior.store(behavior as u8, Ordering::Relaxed);
     }
 
+    /// Sets the bytes that are sent after the following calls have run; none sends their answers alone.
+    pub fn set_bytes(&self, bytes: Option<RawBytes>) {
+        *self.shared.bytes.lock().expect("no thread panics while it holds the lock") = bytes;
+    }
+
     /// Sets the time that each of the following calls takes.
     pub fn set_delay(&self, delay: Duration) {
         self.shared.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
@@ -122,6 +142,16 @@
         if behavior == Behavior::CloseUnanswered as u8 {
             return Err(close());
         }
+        let bytes = self.bytes.lock().ok().and_then(|bytes| bytes.clone());
+        if let Some(RawBytes { bytes, answer_follows }) = bytes {
+            let carried = request.header(CARRIED_HEADER).map(|values| values.as_str().to_owned());
+            if !answer_follows || carried.is_some_and(|carried| carried != "0") {
+                stream.write_all(&bytes).await?;
+            }
+            if !answer_follows {
+                return Err(close());
+            }
+        }
         if behavior == Behavior::Truncate as u8 {
             stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nabc").await?;
             return Err(close());
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -2,11 +2,18 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 use async_h1::server::{ConnectionStatus, Server};
 use http_types::{Request, Response};
 use smol::net::{TcpListener, TcpStream};
 
+/// Header with which a request states its id; the response repeats it.
+const REQUEST_HEADER: &str = "dotterelhoist-request";
+/// Header that tells a [`Handler`] how many requests the connection has carried before.
+pub(crate) const CARRIED_HEADER: &str = "x-carried";
+
 /// Responds to the requests of a server.
 pub(crate) trait Handler: Clone + Send + Sync + 'static {
     /// Responds to one request, which was received on the connection `stream`. An error closes the
@@ -45,9 +52,19 @@
 where
     RequestHandler: Handler,
 {
-    let answer = |request| {
+    let carried = Arc::new(AtomicU64::new(0));
+    let answer = |mut request: Request| {
         let (handler, stream) = (handler.clone(), stream.clone());
-        async move { handler.handle(request, stream).await }
+        let number = carried.fetch_add(1, Ordering::Relaxed);
+        request.insert_header(CARRIED_HEADER, number.to_string());
+        let id = request.header(REQUEST_HEADER).map(|values| values.as_str().to_owned());
+        async move {
+            let mut response = handler.handle(request, stream).await?;
+            if let Some(id) = id {
+                response.insert_header(REQUEST_HEADER, id);
+            }
+            Ok(response)
+        }
     };
     let mut server = Server::new(stream.clone(), answer);
     while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {}
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -4,8 +4,9 @@
 
 use dotterelhoist_testkit::client::{call, send_raw, Call};
 use dotterelhoist_testkit::deployment::counter;
-use dotterelhoist_testkit::plain::Behavior;
+use dotterelhoist_testkit::plain::{Behavior, RawBytes};
 use dotterelhoist_testkit::scenario::{Scenario, Size, MODEL_SERVICE, PLAIN_SERVICE, TOKEN};
+use http_types::Method;
 use rstest::rstest;
 use smol::net::TcpStream;
 use smol::Timer;
@@ -294,3 +295,35 @@
         assert_eq!(status.and_then(|status| status.code()), Some(0));
     });
 }
+
+/// A safe call, which may use a connection that has carried another one.
+fn look_up(number: usize) -> Call {
+    Call { method: Method::Get, ..Call::plain(PLAIN_SERVICE, TOKEN, &format!("/x?{number}"), "") }
+}
+
+/// Guards against MIXED: an earlier answer, or bytes without an owner, on a kept connection were another caller's answer.
+#[rstest]
+#[case::answer_without_id("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale")]
+#[case::answer_of_another(
+    "HTTP/1.1 200 OK\r\ndotterelhoist-request: r-1\r\ncontent-length: 5\r\n\r\nstale"
+)]
+#[case::refusal("HTTP/1.1 503 Shed\r\ndotterelhoist-run: not-run\r\ncontent-length: 0\r\n\r\n")]
+#[case::refusal_later("HTTP/1.1 429 Shed\r\ndotterelhoist-run: not-run\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n")]
+#[case::error("HTTP/1.1 500 Failed\r\ncontent-length: 5\r\n\r\nstale")]
+#[case::no_answer("what is this\r\n\r\n")]
+fn bytes_that_belong_to_no_request_are_not_delivered(#[case] bytes: &str) {
+    smol::block_on(async {
+        let scenario = scenario().await;
+        let address = scenario.deployment.caller_addresses()[0];
+        for number in 0..8 {
+            scenario.plain_service.set_bytes(None);
+            let before = call(address, &look_up(number)).await.expect("the daemon answers");
+            assert_eq!(before.status, 200, "{}", before.body);
+            let raw = RawBytes { bytes: bytes.as_bytes().to_vec(), answer_follows: true };
+            scenario.plain_service.set_bytes(Some(raw));
+            let reply = call(address, &look_up(number)).await.expect("the daemon answers");
+            assert_eq!(reply.status, 200, "{}", reply.body);
+            assert!(reply.body.contains(&reply.request_id), "{} {}", reply.request_id, reply.body);
+        }
+    });
+}
