Own interface: an answer states exactly one length, or chunks

Cause: the daemon asked only whether a header is there; async-h1 takes the first kind for an answer without a body, and the last of several lengths.

Change: the last transfer encoding has to be chunked, or there has to be one length; all else is a broken answer, whose run is unknown.

Measured: answer_that_stops_before_its_end_is_not_delivered, 50 cases, passes.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -175,8 +175,12 @@
         if matches!(status, 429 | 503) && not_run {
             return Err(End::Declined);
         }
-        let is_framed = response.header(TRANSFER_ENCODING).is_some()
-            || response.header(CONTENT_LENGTH).is_some();
+        let is_chunked = response
+            .header(TRANSFER_ENCODING)
+            .is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("chunked"));
+        let has_length =
+            response.header(CONTENT_LENGTH).is_some_and(|values| values.iter().count() == 1);
+        let is_framed = is_chunked || has_length;
         let has_no_body = matches!(status, 204 | 304);
         if !is_framed && !has_no_body {
             return Err(End::Lost { tokens: 0, forwarded: false, crashed: false });
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -327,3 +327,33 @@
         }
     });
 }
+
+/// Guards against MIXED: an endpoint that stops within its answer leaves none that looks whole.
+#[rstest]
+fn answer_that_stops_before_its_end_is_not_delivered(
+    #[values(
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n4\r\ndone\r\n0\r\n\r\n ",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\ncontent-length: 4\r\n\r\ndone ",
+        "HTTP/1.1 503 Shed\r\ndotterelhoist-run: not-run\r\ncontent-length: 0\r\n\r\n"
+    )]
+    whole: &str,
+    #[values(1, 3, 7, 20, 1000)] missing: usize,
+    #[values(true, false)] safe: bool,
+) {
+    smol::block_on(async {
+        let scenario = scenario().await;
+        let address = scenario.deployment.caller_addresses()[0];
+        let part = &whole[..whole.len().saturating_sub(missing)];
+        let bytes = part.as_bytes().to_vec();
+        scenario.plain_service.set_bytes(Some(RawBytes { bytes, answer_follows: false }));
+        let booking = Call::plain(PLAIN_SERVICE, TOKEN, "/book", "b");
+        let request = if safe { look_up(1) } else { booking };
+        let reply = call(address, &request).await.expect("the daemon answers");
+        // The answer to a safe call is forwarded while it arrives, so it can only be seen to be cut.
+        assert!(reply.status >= 500 || safe && !reply.complete, "{part:?}: {}", reply.body);
+        assert!(safe || reply.run_status() == "unknown", "{part:?}: {}", reply.body);
+        assert!(!scenario.plain_service.history.executions().is_empty());
+    });
+}
