--- a/crates/testkit/src/plain.rs
+++ b/crates/testkit/src/plain.rs
@@ -51,6 +51,7 @@
 /// Bytes that a service sends after it has run a call.
 #[derive(Clone, Debug)]
 pub struct RawBytes {
+    /// What is sent; need not be a part of an answer.
     pub bytes: Vec<u8>,
     /// Whether the answer to the call follows, on a connection that has carried another call before;
     /// otherwise the connection is closed.
