Heads are sealed only after an order that this leader saw unanswered

Cause: after a change of leader every head that left was ordered to join a standby group in a higher epoch, as an earlier leader might have had unanswered orders. The join evicts the other model from the VM, so the members that a conversion had freed were no longer warm.

Change: only an order to join or open that this leader itself saw unanswered leads to it. The tests of processes also have more loopback addresses: 46 of 168 found none left.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -438,7 +438,7 @@
             self.leadership.term == term && now.since(self.leadership.ended) < LEASE_LAPSE_MAX;
         self.leadership.term = term;
         if !only_lapsed {
-            self.planner.reset(now, self.replica.applied());
+            self.planner.reset(now);
         }
     }
 
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -167,7 +167,7 @@
     /// was proposed.
     closed: bool,
     /// Whether orders to the head may still be carried out late: one to join or to open was not
-    /// answered, or was given by an earlier leader.
+    /// answered. Of those of an earlier leader that is not known.
     may_reopen: bool,
     /// Whether the head has seen a later generation since it left, so that no order from before makes
     /// it join or open again.
@@ -190,8 +190,6 @@
     next_ticket: u64,
     /// When this daemon became leader.
     leading_since: Instant,
-    /// Index of the last log entry that was applied when this daemon became leader.
-    leading_from: u64,
     /// Orders whose outcome is not yet known, by ticket.
     pending_orders: BTreeMap<u64, PendingOrder>,
     groups: BTreeMap<Generation, GroupState>,
@@ -225,7 +223,6 @@
             times,
             next_ticket: 1,
             leading_since: Instant::default(),
-            leading_from: 0,
             pending_orders: BTreeMap::new(),
             groups: BTreeMap::new(),
             strays: stray::Strays::default(),
@@ -241,14 +238,12 @@
         }
     }
 
-    /// Discards the state from an earlier period as leader. `applied` is the index of the last log
-    /// entry that is applied.
-    pub fn reset(&mut self, now: Instant, applied: u64) {
+    /// Discards the state from an earlier period as leader.
+    pub fn reset(&mut self, now: Instant) {
         let next_ticket = self.next_ticket;
         *self = Planner::new(self.times);
         self.next_ticket = next_ticket;
         self.leading_since = now;
-        self.leading_from = applied;
         self.load_limiter.reset(now);
     }
 
@@ -554,9 +549,8 @@
 
     /// What the leader remembers about a group.
     fn state_of(&mut self, now: Instant, group: &Group) -> &mut GroupState {
-        let inherited = group.epoch <= self.leading_from;
         let state = self.groups.entry(Generation::of(group));
-        state.or_insert_with(|| GroupState::new(now, inherited))
+        state.or_insert_with(|| GroupState::new(now))
     }
 
     /// Whether a member may be ordered to join now: it is warm for the model, callers have not sent
@@ -605,11 +599,9 @@
 }
 
 impl GroupState {
-    /// State of a group that is first seen now; `inherited` says whether an earlier leader may have
-    /// given orders for it.
-    fn new(now: Instant, inherited: bool) -> GroupState {
+    fn new(now: Instant) -> GroupState {
         GroupState {
-            may_reopen: inherited,
+            may_reopen: false,
             sealed: false,
             first_seen: now,
             ordered_at: BTreeMap::new(),
--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -14,6 +14,9 @@
 /// Addresses that [`unique_ips`] takes from one subnet.
 const ADDRESSES_PER_SUBNET: u64 = 250;
 
+/// Subnets from which [`unique_ips`] takes addresses.
+const SUBNETS: u64 = 5;
+
 /// Build of the daemons that a test runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Build {
@@ -132,8 +135,9 @@
     let process = u64::from(std::process::id());
     let ip = |number: u64| {
         let subnet = number / ADDRESSES_PER_SUBNET;
-        assert!(subnet < 2, "no addresses are left for {count} daemons");
-        let (high, low) = (process / 250 % 125 + 1 + 125 * subnet, process % 250 + 1);
+        assert!(subnet < SUBNETS, "no addresses are left for {count} daemons");
+        let highs = 250 / SUBNETS;
+        let (high, low) = (process / 250 % highs + 1 + highs * subnet, process % 250 + 1);
         format!("127.{high}.{low}.{}", number % ADDRESSES_PER_SUBNET + 1)
     };
     (first..first + count).map(ip).collect()
