--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -256,7 +256,7 @@
 
 /// Guards against MIXED and REFUSED: an endpoint that stopped within its answer left one that looked complete.
 #[rstest]
-fn booking_whose_answer_stops_at_any_byte_is_not_answered(
+fn booking_whose_answer_stops_early_is_not_answered(
     #[values(0, 1, 2, 3)] number: usize,
     #[values(Next::Close, Next::Reset)] next: Next,
 ) {
--- a/tests/platform/relays.rs
+++ b/tests/platform/relays.rs
@@ -274,7 +274,7 @@
 
 /// Guards against MIXED: a relay that ends while it writes must not leave an answer that looks complete.
 #[test]
-fn response_of_a_relay_that_stops_at_any_byte_is_no_answer() {
+fn response_of_a_relay_that_stops_early_is_no_answer() {
     let deployment = Deployment::start();
     let relay = ScriptedRelay::start();
     let cut_off = CutOff::start_with_relay(&deployment, &relay.ip);
