--- a/review/lab2.py
+++ b/review/lab2.py
@@ -492,6 +492,226 @@
         await writer.drain()
 
 
+class ModelServer(Server):
+    """An engine that is a member of groups: carries out orders, and streams events as the head of a group."""
+
+    engines = {}
+
+    def __init__(self, lab, name, service, zone, last, domain, beat_zones=None, stall_s=4.0):
+        super().__init__(lab, name, service, zone, last, beat_zones, slots=26)
+        self.domain, self.stall_s = domain, stall_s
+        self.group, self.staged, self.orders, self.epoch_seen = None, [], 0, 0
+        self.last_model, self.fence, self.still_since = None, 0, None
+        self.started_streams, self.was_ready, self.violations = 0, set(), []
+        self.on_state = None
+        ModelServer.engines[self.id] = self
+
+    def state(self):
+        body = super().state()
+        body.update(self.report())
+        return body
+
+    def report(self):
+        model = self.group and self.group["state"] != "joining" and self.group["model"]
+        body = {
+            "stage": "both", "domain": self.domain, "staged": list(self.staged), "born": self.born,
+            "models": [{"name": model, "version": 1, "adapters": []}] if model else [],
+        }
+        if self.group:
+            body["group"] = {key: self.group[key] for key in ("name", "epoch", "rank", "state")}
+        return body
+
+    def changed(self):
+        """Reports a change at once."""
+        self.lab.spawn(self.beat(self.beat_zones[0]))
+
+    def is_complete(self):
+        """Whether every member of its group is still in it."""
+        group = self.group
+        for member in group["members"]:
+            other = ModelServer.engines.get(member)
+            same = other and other.listener and other.group and other.group["epoch"] == group["epoch"]
+            if not same or other.group["state"] == "joining":
+                return False
+        return True
+
+    def serves(self):
+        """Whether it is a head that is open or closing, or stands still and is not broken yet."""
+        return self.listener and self.group and self.group["state"] in ("open", "closing")
+
+    async def watch(self):
+        """Breaks the group once a member has been missing for `stall_s`."""
+        while True:
+            await asyncio.sleep(0.02)
+            if not self.serves() or self.is_complete():
+                self.still_since = None
+            elif self.still_since is None:
+                self.still_since = time.monotonic()
+                self.lab.record.say(f"{self.name}: stands still, a member of {self.group['name']} is missing")
+            elif time.monotonic() - self.still_since > self.stall_s:
+                self.lab.record.say(f"{self.name}: {self.group['name']} is broken")
+                self.group["state"] = "broken"
+                self.changed()
+
+    async def open(self):
+        await super().open()
+        self.lab.spawn(self.watch())
+
+    def head_of(self, group):
+        return ModelServer.engines.get(group["members"][0])
+
+    def order(self, body):
+        """Carries out an order; returns the status."""
+        op, fence = body.get("op"), body.get("fencing_token", 0)
+        if fence < self.fence:
+            return 412
+        self.fence = max(self.fence, fence)
+        if op == "join":
+            return self.join(body)
+        if op == "stage":
+            if body["model"] in self.staged:
+                return 200
+            self.lab.spawn(self.stage(body["model"]))
+            return 202
+        group = self.group
+        fits = group and group["name"] == body["group"] and group["epoch"] == body["epoch"]
+        if not fits:
+            return 409
+        if op == "open":
+            if group["state"] == "open":
+                return 200
+            if group["state"] != "ready" or group["rank"] != 0:
+                return 409
+            self.lab.spawn(self.serve_soon(group))
+            return 202
+        if op == "close":
+            if group["state"] not in ("open", "closing"):
+                return 200 if group["state"] == "ready" else 409
+            group["state"] = "closing"
+            self.lab.spawn(self.finish(group, body.get("close_mode") == "cancel"))
+            return 202
+        if op == "leave":
+            self.leave()
+            return 200
+        return 400
+
+    def leave(self):
+        self.group = None
+        self.changed()
+
+    def join(self, body):
+        epoch, name = body["epoch"], body["group"]
+        old = self.group
+        if epoch < self.epoch_seen:
+            return 412
+        if old and old["name"] == name and old["epoch"] == epoch:
+            return 200 if old["members"] == body["members"] else 412
+        if old and old["name"] != name:
+            head = self.head_of(old)
+            same = head and head.group and head.group["epoch"] == old["epoch"]
+            if same and head.serves():
+                text = f"{self.name}: takes a join of {name} while {head.name}, the head of its group"
+                text += f" {old['name']}, is {head.group['state']} with {head.running} running requests"
+                self.lab.record.say("TWO " + text)
+                self.violations.append(text)
+        self.epoch_seen = epoch
+        self.group = {
+            "name": name, "epoch": epoch, "model": body["model"], "members": body["members"],
+            "rank": body["members"].index(self.id), "state": "joining",
+        }
+        self.lab.spawn(self.load(self.group))
+        self.changed()
+        return 202
+
+    async def load(self, group):
+        if group["model"] == self.last_model:
+            wait = 0.2
+        else:
+            wait = 1.6
+        await asyncio.sleep(wait)
+        if self.group is group:
+            self.last_model = group["model"]
+            if group["model"] not in self.staged:
+                self.staged = [group["model"]]
+            group["state"] = "ready"
+            self.changed()
+
+    async def stage(self, model):
+        await asyncio.sleep(1.6)
+        self.staged = [model]
+        self.changed()
+
+    async def serve_soon(self, group):
+        await asyncio.sleep(0.3)
+        if self.group is group and group["state"] == "ready":
+            group["state"] = "open"
+            self.lab.record.say(f"{self.name}: {group['name']} is open, members "
+                                + ",".join(ModelServer.engines[m].name for m in group["members"]))
+            self.changed()
+
+    async def finish(self, group, cancel):
+        while self.running and not cancel:
+            await asyncio.sleep(0.02)
+        if self.group is group and group["state"] == "closing":
+            group["state"] = "ready"
+            self.changed()
+
+    async def answer(self, writer, method, path, headers, body):
+        request_id = headers.get("dotterelhoist-request-id", "")
+        expected = headers.get("dotterelhoist-expect-instance")
+        if expected and expected != self.id:
+            return await self.respond(writer, 421, {"Dotterelhoist-Not-Run": "1"}, b"")
+        if path == "/report":
+            state = {"busy": False, "sequence": self.orders, "waiting": 0, "running": self.running,
+                     "kv_used": 0, "kv_total": 1400000, "handles": 0, **self.report()}
+            return await self.respond(writer, 200, {"Content-Type": "application/json"}, json.dumps(state).encode())
+        if path == "/order":
+            order = json.loads(body)
+            status = self.order(order)
+            self.orders += status == 202
+            self.lab.record.write(f"{self.name}: order {order} -> {status}")
+            return await self.respond(writer, status, {"Content-Type": "application/json"}, b"{}")
+        if path == "/health":
+            return await self.respond(writer, 200, {"Dotterelhoist-Instance-Id": self.id}, b"")
+        extra = {"Dotterelhoist-Request-Id": request_id}
+        self.arrivals.append((time.monotonic(), request_id, path))
+        group = self.group
+        if not group or group["rank"] != 0 or group["state"] != "open":
+            extra["Dotterelhoist-Not-Run"] = "1"
+            status = 503 if group and group["state"] == "broken" else 421
+            return await self.respond(writer, status, extra, b"")
+        self.running += 1
+        try:
+            await self.stream(writer, request_id, group)
+        finally:
+            self.running -= 1
+
+    async def stream(self, writer, request_id, group):
+        self.runs.append((time.monotonic(), request_id, group["name"]))
+        self.lab.record.write(f"{self.name}: runs {request_id} in {group['name']}")
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        head += f"Dotterelhoist-Request-Id: {request_id}\r\nDotterelhoist-Weight-Versions: 1\r\n"
+        head += f"Dotterelhoist-Response-Seal: {self.id}.{request_id}\r\n\r\n"
+        await asyncio.sleep(0.05)
+        await self.while_still(group)
+        writer.write(head.encode())
+        for number in range(1, 28):
+            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.06)
+            await self.while_still(group)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def while_still(self, group):
+        """Waits while a member is missing; the request is cut off once the group is broken or left."""
+        while self.group is group and group["state"] != "broken" and not self.is_complete():
+            await asyncio.sleep(0.02)
+        if self.group is not group or group["state"] == "broken":
+            raise OSError("cut off")
+
+
 def run_case(folder, case, proxied=False):
     """Runs a case, and exits with 1 if it returns True (broken), 0 if False, 2 if it could not run."""
 
