Review case 10: a stream that crashes each engine a second after its first event is never refused

Cause: a response that is lost later than 500 ms after its first part counts as an answer that survived, and clears the features of the request.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -699,11 +699,15 @@
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
+            self.event_sent(request_id, number)
             await asyncio.sleep(0.06)
             await self.while_still(group)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def event_sent(self, request_id, number):
+        """Called after each event of a stream."""
+
     async def while_still(self, group):
         """Waits while a member is missing; the request is cut off once the group is broken or left."""
         while self.group is group and group["state"] != "broken" and not self.is_complete():
