Review case 8: late orders of an earlier leader open a head whose members then join another group

Cause: that orders to a head were not answered is known to the leader that gave them only, and the check-ins of the head that would tell are late. Added: a script; lab2.py can have engines that check no fencing numbers, and that drain.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -148,6 +148,7 @@
         self.proxied = False
         self.cut = None
         self.links = set()
+        self.bounds = BOUNDS
 
     @staticmethod
     def find_net():
@@ -179,7 +180,7 @@
         text += f"machine_class={role}\nip={self.ip(zone, last)}\nzone={zone}\nregion=r\n"
         text += "".join(f"zones.{z}=r\n" for z in self.zones)
         text += f"internal_ports={LINK_PORT},{RELAY_PORT}\nseeds={seeds}\n"
-        text += f"bootstrap={'true' if bootstrap else 'false'}\n" + BOUNDS
+        text += f"bootstrap={'true' if bootstrap else 'false'}\n" + self.bounds
         if role == "core":
             text += f"serves=control\nlisten.control={self.control_ip(zone)}:{CONTROL_PORT}\n"
             text += f"data_dir={self.temp}/data-{zone}\nlimits.disk_mb=128\n"
@@ -374,7 +375,7 @@
         self.beat_zones = beat_zones or lab.zones
         self.slots, self.work_s = slots, work_s
         self.sequence, self.running = 0, 0
-        self.beating = True
+        self.beating, self.draining = True, False
         self.arrivals, self.runs, self.connections = [], [], set()
         self.listener, self.crash_on, self.on_crash = None, None, None
         self.born = int(time.time() * 1000)
@@ -388,7 +389,7 @@
         self.sequence += 1
         return {
             "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
-            "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
+            "version": "v1", "slots": self.slots, "state": "draining" if self.draining else "ready", "cold_remaining_ms": 0,
             "sequence": self.sequence, "born": self.born,
         }
 
@@ -496,6 +497,8 @@
     """An engine that is a member of groups: carries out orders, and streams events as the head of a group."""
 
     engines = {}
+    # Whether it refuses orders with a lower fencing number than it has seen (`enforce_fencing`).
+    enforces_fencing = True
 
     def __init__(self, lab, name, service, zone, last, domain, beat_zones=None, stall_s=4.0):
         super().__init__(lab, name, service, zone, last, beat_zones, slots=26)
@@ -563,7 +566,7 @@
     def order(self, body):
         """Carries out an order; returns the status."""
         op, fence = body.get("op"), body.get("fencing_token", 0)
-        if fence < self.fence:
+        if self.enforces_fencing and fence < self.fence:
             return 412
         self.fence = max(self.fence, fence)
         if op == "join":
@@ -716,12 +719,14 @@
             raise OSError("cut off")
 
 
-def run_case(folder, case, proxied=False):
+def run_case(folder, case, proxied=False, prepare=None):
     """Runs a case, and exits with 1 if it returns True (broken), 0 if False, 2 if it could not run."""
 
     async def main():
         lab = Lab(folder)
         lab.proxied = proxied
+        if prepare:
+            prepare(lab)
         try:
             await lab.open()
             return 1 if await case(lab) else 0
