A departure reaches every daemon that missed it, and outlasts all control daemons

Cause: a departure was sent to each connected control daemon once. A daemon that was cut off, killed or started since never learned of it, and an entry daemon that selected it went back behind what another one had told it. Ruled out: that entry daemons keep the endpoint by themselves (they drop it with the view of the daemon that knows), that a late heartbeat takes the departure back (none arrives in the case).

Change: control daemons tell each other of all departures of the last minute when a connection comes up; they tell entry daemons at once, which send such an incarnation nothing whoever lists it, and tell control daemons what they know when they connect. Draining heartbeats take the same path. Why this works: no view can bring an endpoint back while any daemon that heard of the departure is connected.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -25,6 +25,7 @@
 use crate::Name;
 
 pub mod crashes;
+pub mod departures;
 pub mod distribution;
 pub mod endpoints;
 pub mod limits;
@@ -96,6 +97,9 @@
     Connected(Hello),
     /// The connection of the named entry daemon has ended.
     Disconnected(Name),
+    /// The connection of this daemon to the named control daemon has come up, for the first time or
+    /// again.
+    Reached(Name),
     /// A message of another daemon has arrived.
     Received {
         /// Name of the sender.
@@ -300,17 +304,20 @@
                 if hello.control {
                     self.add_control_daemon(&hello.daemon.as_str().into(), effects);
                 } else {
-                    self.distributor.add_subscriber(hello.daemon.as_str().into());
+                    let entry_daemon: Name = hello.daemon.as_str().into();
+                    self.distributor.add_subscriber(entry_daemon.clone());
+                    self.greet_subscriber(now, entry_daemon, effects);
                 }
             }
             Event::Disconnected(daemon) => self.distributor.remove_subscriber(&daemon),
+            Event::Reached(daemon) => self.send_departures(now, daemon, effects),
             Event::Received { from, body, random } => {
                 self.receive(now, from, body, random, effects)
             }
             Event::Persisted(sequence) => {
                 self.replica.mark_synced(now, sequence, &mut self.outputs);
             }
-            Event::Heartbeat(heartbeat) => self.record_heartbeat(now, *heartbeat),
+            Event::Heartbeat(heartbeat) => self.record_heartbeat(now, *heartbeat, effects),
             Event::Deregistered { id, started_unix_ms } => {
                 self.deregister(now, &id, started_unix_ms, effects);
             }
@@ -323,6 +330,7 @@
                 self.record_probe(now, &id, outcome, effects);
             }
         }
+        self.announce_departures(now, effects);
         self.process_outputs(now, effects);
     }
 
@@ -410,6 +418,7 @@
                     self.record_in_table(heartbeat, seen_at);
                 }
             }
+            Body::Departures(departures) => self.record_departures(now, departures),
             Body::Report(report) => {
                 for limit in &report.limits {
                     self.limits.record(now, limit, &self.endpoints);
@@ -443,10 +452,15 @@
     }
 
     /// Records a heartbeat that an endpoint sent to this daemon, and queues it for the other
-    /// control daemons.
-    fn record_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat) {
+    /// control daemons. One of an endpoint that drains is sent at once, as a deregistration.
+    fn record_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat, effects: &mut Vec<Effect>) {
+        let draining = heartbeat.draining;
         self.unforwarded_heartbeats.push((heartbeat.clone(), now));
         self.record_in_table(heartbeat, now);
+        if draining {
+            self.forward_due = now;
+            self.forward_heartbeats(now, effects);
+        }
     }
 
     /// Records a heartbeat that an endpoint has sent to any control daemon, received at `seen_at`.
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -125,6 +125,11 @@
         self.subscribers.remove(daemon);
     }
 
+    /// Names of the connected entry daemons.
+    pub(super) fn subscriber_names(&self) -> impl Iterator<Item = &Name> {
+        self.subscribers.keys()
+    }
+
     /// Records the report of a connected entry daemon; ignores it if the daemon is not connected.
     pub(super) fn record_report(&mut self, now: Instant, from: &Name, report: Report) {
         self.decay(now);
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -8,7 +8,8 @@
 
 use dotterelhoist_core::clock::Instant;
 
-use crate::endpoint::{Heartbeat, Membership, Stage};
+use crate::endpoint::{Heartbeat, Membership, Stage, DEPARTURE_TTL};
+use crate::message::Departure as DepartureNotice;
 use crate::Name;
 
 /// Time since an endpoint was last seen after which it is removed from the table.
@@ -23,11 +24,6 @@
 /// pause for a second or so, and the first probe has waited for its answer before.
 const SILENCE_MAX: Duration = Duration::from_millis(1200);
 
-/// Time after the deregistration of an endpoint for which its heartbeats don't take that back: they
-/// were sent before, or while it stops. One that still sends some after it has not meant itself: the
-/// deregistration was a late one of an earlier incarnation.
-const DEREGISTRATION_TTL: Duration = Duration::from_secs(60);
-
 /// Time after an endpoint has left a group in which a heartbeat that names the group was sent before.
 /// An endpoint that joins again needs longer until it can serve.
 const DEPARTURE_SETTLE_TIME: Duration = Duration::from_millis(300);
@@ -102,6 +98,8 @@
     joined_epoch: u64,
     /// When it last said in which group it is, by a heartbeat or by the answer to an order.
     told_at: Instant,
+    /// Whether entry daemons have been told that this incarnation leaves.
+    departure_told: bool,
 }
 
 /// All endpoints by identity.
@@ -110,6 +108,8 @@
     endpoints: BTreeMap<Name, Endpoint>,
     /// Unknown endpoints that have deregistered, by identity.
     unknown_departures: BTreeMap<Name, UnknownDeparture>,
+    /// Endpoints that may leave, of which entry daemons may not have been told.
+    untold: Vec<Name>,
 }
 
 /// Deregistration of an endpoint that is not known, so that its late heartbeats can be told.
@@ -118,6 +118,40 @@
     /// Start of its incarnation, if it has stated it.
     started: Option<u64>,
     at: Instant,
+    /// Whether entry daemons have been told.
+    told: bool,
+}
+
+impl UnknownDeparture {
+    fn open(started: Option<u64>, at: Instant) -> UnknownDeparture {
+        UnknownDeparture { started, at, told: false }
+    }
+
+    /// Takes over what another daemon has said of the same endpoint: the latest incarnation counts.
+    fn merge(&mut self, other: UnknownDeparture) {
+        let later = match (self.started, other.started) {
+            (Some(known), Some(stated)) => stated > known,
+            (known, stated) => known.is_some() && stated.is_none(),
+        };
+        if later {
+            *self = other;
+        }
+    }
+
+    /// The heartbeat that tells other control daemons.
+    fn heartbeat(&self, id: &str) -> Heartbeat {
+        let started_unix_ms = self.started.unwrap_or_default();
+        Heartbeat { id: id.to_owned(), started_unix_ms, gone: true, ..Heartbeat::default() }
+    }
+}
+
+/// What entry daemons are told of a departure.
+fn departure_notice(now: Instant, heartbeat: &Heartbeat, at: Instant) -> DepartureNotice {
+    DepartureNotice {
+        id: heartbeat.id.clone(),
+        started_unix_ms: heartbeat.started_unix_ms,
+        age_ms: now.since(at).as_millis() as u32,
+    }
 }
 
 impl Table {
@@ -139,16 +173,62 @@
         if is_new && named {
             self.claim_address(&id, last_seen);
         }
+        self.untold.push(id);
         is_new
     }
 
+    /// Records the departure of an incarnation, of which another daemon has told this one. `at` is when
+    /// it was acknowledged, `started` the start of the incarnation if it is known.
+    pub fn record_departure(&mut self, at: Instant, id: &str, started: Option<u64>) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            let departure = UnknownDeparture::open(started, at);
+            self.unknown_departures.entry(id.into()).or_insert(departure).merge(departure);
+            self.untold.push(id.into());
+            return;
+        };
+        if started.is_none_or(|started| started >= endpoint.heartbeat.started_unix_ms) {
+            endpoint.record_gone(at);
+            self.untold.push(id.into());
+        }
+    }
+
+    /// Endpoints that leave, each with a heartbeat that says so and when that was first known.
+    pub fn departed(&self) -> impl Iterator<Item = (Heartbeat, Instant)> + '_ {
+        let known = self.endpoints.values().filter(|endpoint| endpoint.leaves());
+        let known = known.map(|endpoint| (endpoint.heartbeat.clone(), endpoint.left_at()));
+        let unknown = self.unknown_departures.iter();
+        known.chain(unknown.map(|(id, departure)| (departure.heartbeat(id), departure.at)))
+    }
+
+    /// All departures, as they are told to entry daemons.
+    pub fn list_departures(&self, now: Instant) -> Vec<DepartureNotice> {
+        self.departed().map(|(heartbeat, at)| departure_notice(now, &heartbeat, at)).collect()
+    }
+
+    /// The departures that were recorded since the last call.
+    pub fn take_new_departures(&mut self, now: Instant) -> Vec<DepartureNotice> {
+        let mut notices = Vec::new();
+        for id in std::mem::take(&mut self.untold) {
+            if let Some(departure) = self.unknown_departures.get_mut(&id) {
+                if !std::mem::replace(&mut departure.told, true) {
+                    notices.push(departure_notice(now, &departure.heartbeat(&id), departure.at));
+                }
+                continue;
+            }
+            let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
+            if endpoint.leaves() && !std::mem::replace(&mut endpoint.departure_told, true) {
+                notices.push(departure_notice(now, &endpoint.heartbeat, endpoint.left_at()));
+            }
+        }
+        notices
+    }
+
     /// Adds an endpoint that was not known. Returns false if one that started later already uses the
     /// same address.
     fn insert(&mut self, heartbeat: Heartbeat, last_seen: Instant) -> bool {
         if heartbeat.gone && heartbeat.address.is_empty() {
             let started = Some(heartbeat.started_unix_ms).filter(|started| *started > 0);
-            let departure = UnknownDeparture { started, at: last_seen };
-            self.unknown_departures.insert(heartbeat.id.into(), departure);
+            self.record_departure(last_seen, &heartbeat.id, started);
             return true;
         }
         if self.endpoints.values().any(|other| {
@@ -200,16 +280,15 @@
         started: Option<u64>,
     ) -> Option<Heartbeat> {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
-            self.unknown_departures.insert(id.into(), UnknownDeparture { started, at: now });
-            let started_unix_ms = started.unwrap_or_default();
-            let id = id.to_owned();
-            return Some(Heartbeat { id, started_unix_ms, gone: true, ..Heartbeat::default() });
+            self.record_departure(now, id, started);
+            return Some(UnknownDeparture::open(started, now).heartbeat(id));
         };
         if started.is_some_and(|started| started < endpoint.heartbeat.started_unix_ms) {
             return None;
         }
         endpoint.record_gone(now);
         endpoint.heartbeat.sequence += 1;
+        self.untold.push(id.into());
         Some(endpoint.heartbeat.clone())
     }
 
@@ -231,7 +310,7 @@
     /// Removes endpoints that have not been seen for `RETENTION`.
     pub fn remove_expired(&mut self, now: Instant) {
         self.endpoints.retain(|_, endpoint| now.since(endpoint.last_seen) < RETENTION);
-        self.unknown_departures.retain(|_, departure| now.since(departure.at) < DEREGISTRATION_TTL);
+        self.unknown_departures.retain(|_, departure| now.since(departure.at) < DEPARTURE_TTL);
     }
 }
 
@@ -249,6 +328,7 @@
             departure: None,
             joined_epoch: 0,
             told_at: last_seen,
+            departure_told: false,
         }
     }
 
@@ -336,6 +416,16 @@
         unstated || heartbeat.started_unix_ms == self.heartbeat.started_unix_ms
     }
 
+    /// Whether it has deregistered or terminated, or drains.
+    fn leaves(&self) -> bool {
+        self.heartbeat.gone || self.heartbeat.draining
+    }
+
+    /// When it was first known to leave, if it does.
+    fn left_at(&self) -> Instant {
+        self.gone_at.unwrap_or(self.last_seen)
+    }
+
     /// Records that it has deregistered or terminated.
     fn record_gone(&mut self, now: Instant) {
         self.heartbeat.gone = true;
@@ -345,7 +435,7 @@
     /// Keeps it gone although its newest heartbeat, seen at this time, does not say so.
     fn keep_gone(&mut self, seen_at: Instant) {
         let Some(gone_at) = self.gone_at else { return };
-        if seen_at.since(gone_at) < DEREGISTRATION_TTL {
+        if seen_at.since(gone_at) < DEPARTURE_TTL {
             self.heartbeat.gone = true;
         } else if !self.heartbeat.gone {
             self.gone_at = None;
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -1,9 +1,16 @@
 //! The state of endpoints, as they report it in heartbeats and in answers to probes.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use crate::Name;
 
+/// Time after the departure of an endpoint, its deregistration or its report that it drains, for which
+/// what is said of its incarnation doesn't take that back: it was sent before, or while the endpoint
+/// stops.
+pub const DEPARTURE_TTL: Duration = Duration::from_secs(60);
+
 /// Whether an endpoint accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -28,6 +28,7 @@
 pub mod targets;
 
 mod barring;
+mod departures;
 mod fetching;
 mod hedging;
 mod limits;
@@ -271,6 +272,7 @@
             Event::Tick => self.tick(now, effects),
             Event::Connected(from) => {
                 let source = Source { status: None, last_message: now, applied_at: now };
+                self.send_departures(now, &from, effects);
                 self.sources.insert(from, source);
                 self.limits_changed |= !self.targets.limits.is_empty();
                 self.targets.limits.report_all();
@@ -367,6 +369,9 @@
                 self.send_queued(now, effects);
             }
             Body::Slot(slot) => self.apply_slot(now, &slot, effects),
+            Body::Departures(departures) => {
+                self.record_departures(now, &from, &departures, effects)
+            }
             _ => {}
         }
     }
@@ -452,6 +457,7 @@
             self.older_losses.take_crashed(now, |id| targets.has_probably_terminated(id, now));
         self.unreported_crashes.extend(crashed);
         self.bars.expire(now);
+        self.targets.departures.expire(now);
         self.refuse_expired(now, effects);
         self.send_queued(now, effects);
         self.request_slots(now, effects);
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -10,9 +10,10 @@
 use dotterelhoist_core::clock::Instant;
 use smallvec::SmallVec;
 
-use crate::message::{Loads, Target as Description, View};
+use crate::message::{Departure, Loads, Target as Description, View};
 use crate::Name;
 
+use super::departures::Departures;
 use super::limits::{Limits, Outlook};
 use super::pauses::Pauses;
 use super::queue::Requirement;
@@ -48,7 +49,7 @@
 pub struct Target {
     /// Its entry in the newest view that listed it.
     pub description: Description,
-    /// Whether the current view lists it; only then is it sent new requests.
+    /// Whether the current view lists it and it has not left; only then is it sent new requests.
     in_view: bool,
     /// Requests of this daemon in flight there.
     running: u32,
@@ -98,6 +99,8 @@
     pub(super) limits: Limits,
     /// Pauses and leaves of endpoints, whether they are in the view or not.
     pub(super) pauses: Pauses,
+    /// Endpoints that have left, whatever the view says.
+    pub(super) departures: Departures,
 }
 
 /// An endpoint that could be sent a request.
@@ -135,6 +138,7 @@
             targets: BTreeMap::new(),
             limits: Limits::default(),
             pauses: Pauses::default(),
+            departures: Departures::default(),
         }
     }
 
@@ -147,7 +151,8 @@
         for target in self.targets.values_mut() {
             target.in_view = false;
         }
-        for description in view.targets {
+        let departures = &self.departures;
+        for description in view.targets.into_iter().filter(|listed| !departures.contain(listed)) {
             let id: Name = description.id.as_str().into();
             self.pauses.record_listed(&id, description.started_unix_ms);
             match self.targets.get_mut(&id) {
@@ -171,6 +176,16 @@
         self.pauses.expire(now, |id| targets.get(id).is_some_and(|target| target.in_view));
     }
 
+    /// Records that an endpoint leaves; it gets no more requests. Returns false if that was known.
+    pub(super) fn record_departure(&mut self, now: Instant, departure: &Departure) -> bool {
+        let is_new = self.departures.record(now, departure);
+        let target = self.targets.get_mut(departure.id.as_str());
+        if let Some(target) = target.filter(|target| self.departures.contain(&target.description)) {
+            target.in_view = false;
+        }
+        is_new
+    }
+
     /// Updates the limits and the load by other entry daemons; loads that belong to another view
     /// are ignored.
     pub fn apply_loads(&mut self, loads: &Loads, now: Instant) {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -50,6 +50,30 @@
     pub age_ms: u32,
 }
 
+/// An endpoint that leaves: it has deregistered, or reported that it drains.
+#[derive(Clone, PartialEq, Message)]
+pub struct Departure {
+    /// Identity of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start time of its incarnation in Unix milliseconds; 0 if it is not known, in which case the
+    /// departure is that of any incarnation.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Milliseconds since it was first acknowledged, as far as the sender knows.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// Endpoints that leave. Control daemons and entry daemons tell each other of all that they know when
+/// a connection comes up; control daemons tell entry daemons of each further one at once.
+#[derive(Clone, PartialEq, Message)]
+pub struct Departures {
+    /// The departures.
+    #[prost(message, repeated, tag = "1")]
+    pub departures: Vec<Departure>,
+}
+
 /// State of a control daemon; sent to each connected entry daemon at regular intervals.
 #[derive(Clone, PartialEq, Message)]
 pub struct Status {
@@ -414,6 +438,9 @@
     /// Answer to a request for a slot.
     #[prost(message, tag = "16")]
     Slot(Slot),
+    /// Endpoints that leave; ignored by daemons of older builds.
+    #[prost(message, tag = "17")]
+    Departures(Departures),
     /// Keep-alive probe; answered by a pong.
     #[prost(bool, tag = "9")]
     Ping(bool),
@@ -426,6 +453,6 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub body: Option<Body>,
 }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -15,7 +15,7 @@
 use dotterelhoist_fleet::control::planner::Times;
 use dotterelhoist_fleet::control::{Answer, Effect, Event, Setup, State};
 use dotterelhoist_fleet::endpoint::{Heartbeat, Membership, Stage};
-use dotterelhoist_fleet::message::{Body, Fetch, Hello, Reply, Report};
+use dotterelhoist_fleet::message::{Body, Departure, Fetch, Hello, Reply, Report};
 use dotterelhoist_fleet::order::{Order, Outcome, Task};
 use dotterelhoist_fleet::patch::Patch;
 use dotterelhoist_fleet::probe;
@@ -76,6 +76,10 @@
     pub heads_in_view: BTreeSet<Name>,
     /// Whether messages between control daemons are lost.
     pub control_partitioned: bool,
+    /// Control daemons whose messages to and from the others are lost.
+    pub cut_off: BTreeSet<Name>,
+    /// Departures that entry daemons were told of, with the receiver.
+    pub departures_told: Vec<(Name, Departure)>,
     /// Documents that were sent, with the entry daemon that received each.
     pub documents_sent: Vec<(Name, Patch)>,
     /// Versions that were stated in a status, with the entry daemon that received each.
@@ -128,6 +132,8 @@
             barred: BTreeSet::new(),
             heads_in_view: BTreeSet::new(),
             control_partitioned: false,
+            cut_off: BTreeSet::new(),
+            departures_told: Vec::new(),
             documents_sent: Vec::new(),
             versions_stated: Vec::new(),
             reads: Rc::default(),
@@ -181,6 +187,27 @@
         self.inbox.push((name.clone(), Event::Connected(hello)));
         let hello = Hello { daemon: "far".into(), zone: "y".into(), control: false };
         self.inbox.push((name.clone(), Event::Connected(hello)));
+        self.reach(name);
+    }
+
+    /// Brings up the connections between a control daemon and the others that it reaches.
+    fn reach(&mut self, name: &Name) {
+        for other in daemon_names() {
+            if other != *name && self.is_connected(name, &other) {
+                self.inbox.push((name.clone(), Event::Reached(other.clone())));
+                self.inbox.push((other, Event::Reached(name.clone())));
+            }
+        }
+    }
+
+    fn is_connected(&self, one: &Name, other: &Name) -> bool {
+        !self.control_partitioned && !self.cut_off.contains(one) && !self.cut_off.contains(other)
+    }
+
+    /// Ends the cut of a control daemon.
+    pub fn end_cut(&mut self, name: &Name) {
+        self.cut_off.remove(name);
+        self.reach(name);
     }
 
     /// Connects an entry daemon to a control daemon.
@@ -427,9 +454,13 @@
         for effect in effects {
             match effect {
                 Effect::Send(to, body) => {
-                    if self.control_partitioned && daemon_names().contains(&to) {
+                    if daemon_names().contains(&to) && !self.is_connected(name, &to) {
                         continue;
                     }
+                    if let Body::Departures(told) = &body {
+                        let told = told.departures.iter();
+                        self.departures_told.extend(told.map(|told| (to.clone(), told.clone())));
+                    }
                     if let Body::Document(patch) = &body {
                         self.documents_sent.push((to.clone(), patch.clone()));
                     }
--- a/crates/fleet/tests/control/departures.rs
+++ b/crates/fleet/tests/control/departures.rs
@@ -6,6 +6,7 @@
 use dotterelhoist_fleet::control::endpoints::Table;
 use dotterelhoist_fleet::control::Event;
 use dotterelhoist_fleet::endpoint::Heartbeat;
+use dotterelhoist_fleet::message::{Body, Departure, Departures};
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
@@ -184,3 +185,152 @@
     assert!(table.find("old").expect("old").confirmed_dead);
     assert!(!table.record_heartbeat(at("older", 1, 1), now, true), "an earlier one holds nothing");
 }
+
+/// How an endpoint says that it leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Deregisters,
+    Drains,
+}
+
+/// How a control daemon misses it.
+#[derive(Clone, Copy, Debug)]
+enum Miss {
+    CutOff,
+    CutOffAndKilled,
+    Killed,
+    LosesItsDisk,
+}
+
+/// Says at a daemon that the endpoint leaves; it sends nothing more. Returns a heartbeat from before.
+fn leave(cluster: &mut Cluster, at: &Name, id: &Name, leave: Leave) -> Heartbeat {
+    let before = cluster.engines[id].heartbeat();
+    cluster.engines.get_mut(id).expect("the endpoint").stops_at = Some(cluster.now + SECOND * 30);
+    match leave {
+        Leave::Deregisters => deregister(cluster, at, id, Some(before.started_unix_ms)),
+        Leave::Drains => {
+            let sequence = before.sequence + 2;
+            heartbeat(cluster, at, &Heartbeat { draining: true, sequence, ..before.clone() });
+        }
+    }
+    Heartbeat { sequence: before.sequence + 1, ..before }
+}
+
+/// Control daemons that would send the endpoint requests.
+fn listing(cluster: &Cluster, id: &Name) -> Vec<Name> {
+    let lists = |name: &&Name| {
+        let endpoint = cluster.daemons[*name].endpoints().find(id);
+        endpoint.is_some_and(|known| !known.heartbeat.gone && !known.heartbeat.draining)
+    };
+    cluster.daemons.keys().filter(lists).cloned().collect()
+}
+
+/// Guards against DRAIN: a daemon that was not connected at the time never learned of a departure.
+#[rstest]
+fn departure_is_known_to_a_daemon_that_missed_it_once_it_is_reached(
+    #[values(Leave::Deregisters, Leave::Drains)] how: Leave,
+    #[values(Miss::CutOff, Miss::CutOffAndKilled, Miss::Killed, Miss::LosesItsDisk)] miss: Miss,
+    #[values(0, 1, 2)] missed_by: usize,
+    #[values(true, false)] late_heartbeat: bool,
+    #[values(200, 5_000)] missed_ms: u64,
+) {
+    let mut cluster = serving_cluster(1);
+    let daemons = daemon_names();
+    let (missing, at) = (daemons[missed_by].clone(), daemons[(missed_by + 1) % 3].clone());
+    let id = cluster.heads()[0].clone();
+    match miss {
+        Miss::CutOff | Miss::CutOffAndKilled => {
+            cluster.cut_off.insert(missing.clone());
+        }
+        Miss::Killed | Miss::LosesItsDisk => cluster.kill(&missing),
+    }
+    cluster.run(SECOND / 2);
+    let late = leave(&mut cluster, &at, &id, how);
+    cluster.run(Duration::from_millis(missed_ms));
+    match miss {
+        Miss::CutOff => {}
+        Miss::CutOffAndKilled => {
+            cluster.kill(&missing);
+            cluster.start(&missing, &format!("{missing}#0"));
+        }
+        Miss::Killed => cluster.start(&missing, &format!("{missing}#0")),
+        Miss::LosesItsDisk => {
+            cluster.disks.remove(&missing);
+            cluster.start(&missing, &format!("{missing}#1"));
+        }
+    }
+    cluster.end_cut(&missing);
+    cluster.run(Duration::from_millis(75));
+    if late_heartbeat {
+        heartbeat(&mut cluster, &missing, &late);
+        cluster.run(Duration::from_millis(25));
+    }
+    assert_eq!(listing(&cluster, &id), Vec::<Name>::new());
+    cluster.run(SECOND * 6);
+    assert_eq!(listing(&cluster, &id), Vec::<Name>::new());
+}
+
+/// Guards against DRAIN: a departure was lost with all control daemons, and a late heartbeat took it back.
+#[rstest]
+fn departure_outlasts_all_control_daemons_by_the_entry_daemons(
+    #[values(Leave::Deregisters, Leave::Drains)] how: Leave,
+    #[values(0, 1, 2)] late_at: usize,
+    #[values(true, false)] late_heartbeat_first: bool,
+) {
+    let mut cluster = serving_cluster(1);
+    let daemons = daemon_names();
+    let id = cluster.heads()[0].clone();
+    let late = leave(&mut cluster, &daemons[0], &id, how);
+    let told = cluster.departures_told.iter().filter(|(to, _)| **to == *"entry");
+    let told: Vec<Departure> = told.map(|(_, departure)| departure.clone()).collect();
+    assert_eq!(told.len(), 1, "{told:?}");
+    for daemon in &daemons {
+        cluster.kill(daemon);
+    }
+    for daemon in &daemons {
+        cluster.start(daemon, &format!("{daemon}#0"));
+    }
+    if late_heartbeat_first {
+        heartbeat(&mut cluster, &daemons[late_at], &late);
+    }
+    let body = Body::Departures(Departures { departures: told });
+    for to in &daemons {
+        let event = Event::Received { from: "entry".into(), body: body.clone(), random: 1 };
+        cluster.apply(to, event);
+    }
+    if !late_heartbeat_first {
+        heartbeat(&mut cluster, &daemons[late_at], &late);
+    }
+    cluster.run(SECOND / 4);
+    assert_eq!(listing(&cluster, &id), Vec::<Name>::new());
+    cluster.run(SECOND * 6);
+    assert_eq!(listing(&cluster, &id), Vec::<Name>::new());
+}
+
+/// An endpoint that starts again under its identity is taken at once, whoever still tells its departure.
+#[rstest]
+fn departure_of_an_earlier_incarnation_does_not_hold_the_next_one(
+    #[values(Leave::Deregisters, Leave::Drains)] how: Leave,
+    #[values(true, false)] told_again: bool,
+) {
+    let mut cluster = serving_cluster(1);
+    let daemons = daemon_names();
+    let id = cluster.heads()[0].clone();
+    let missing = daemons[2].clone();
+    cluster.cut_off.insert(missing.clone());
+    leave(&mut cluster, &daemons[0], &id, how);
+    cluster.kill_engines(std::slice::from_ref(&id));
+    cluster.run(SECOND);
+    cluster.restart_engine(&id);
+    let next = cluster.engines[&id].heartbeat();
+    heartbeat(&mut cluster, &missing, &next);
+    cluster.end_cut(&missing);
+    if told_again {
+        let departures = cluster.departures_told.iter().map(|(_, told)| told.clone()).collect();
+        let body = Body::Departures(Departures { departures });
+        let event = Event::Received { from: "entry".into(), body, random: 1 };
+        cluster.apply(&missing, event);
+    }
+    cluster.run(SECOND * 2);
+    assert_eq!(listing(&cluster, &id), daemons);
+}
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -19,6 +19,7 @@
 use rstest::rstest;
 
 mod barring;
+mod departures;
 mod fetching;
 mod interleaving;
 mod limits;
@@ -120,6 +121,8 @@
     unselected_reports: Vec<Report>,
     /// Requests for the document, with the control daemon that each was sent to.
     fetches: Vec<(Name, Fetch)>,
+    /// Departures that were sent to control daemons.
+    departures_sent: Vec<(Name, Body)>,
 }
 
 impl Harness {
@@ -150,6 +153,7 @@
             entry_daemons: 1,
             unselected_reports,
             fetches,
+            departures_sent: Vec::new(),
         }
     }
 
@@ -179,6 +183,9 @@
                     self.decisions.entry(id).or_default().push(decision);
                 }
                 Effect::Send(to, Body::Fetch(fetch)) => self.fetches.push((to, fetch)),
+                Effect::Send(to, body @ Body::Departures(_)) => {
+                    self.departures_sent.push((to, body));
+                }
                 Effect::Send(to, Body::Report(report)) => {
                     self.reported_crashes.extend(&report.crashed);
                     if *to == *UNSELECTED_CONTROL {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -272,8 +272,7 @@
         }
     }
 
-    /// Passes link events to the reducer, except [`LinkEvent::OutgoingOpened`] and
-    /// [`LinkEvent::OutgoingClosed`], which it does not need.
+    /// Passes link events to the reducer, except [`LinkEvent::OutgoingClosed`], which it does not need.
     fn handle_link_event(self: &Rc<Self>, event: LinkEvent) {
         match event {
             LinkEvent::IncomingOpened(hello) => self.apply(Event::Connected(hello)),
@@ -281,7 +280,8 @@
             LinkEvent::Received(from, body) => {
                 self.apply(Event::Received { from, body, random: clock::random_u64() });
             }
-            LinkEvent::OutgoingOpened(_) | LinkEvent::OutgoingClosed(_) => {}
+            LinkEvent::OutgoingOpened(daemon) => self.apply(Event::Reached(daemon)),
+            LinkEvent::OutgoingClosed(_) => {}
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -19,6 +19,8 @@
 mod cuts;
 #[path = "platform/daemon.rs"]
 mod daemon;
+#[path = "platform/departures.rs"]
+mod departures;
 #[path = "platform/deployment.rs"]
 mod deployment;
 #[path = "platform/endings.rs"]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -471,6 +471,13 @@
         self.entry = Some(self.spawn(build, &self.ips[CONTROL_DAEMONS], false));
     }
 
+    /// Deregisters an endpoint at the first control daemon, and returns the status of the answer. The
+    /// stand-in goes on as if it had not been deregistered.
+    pub fn deregister(&self, id: &str) -> Option<u16> {
+        let path = format!("/Instances.Deregister/{id}");
+        Some(send(self.control_addresses()[0], "POST", &path, "", r#"{"born":1}"#)?.status)
+    }
+
     /// Stops the engine with this index.
     pub fn stop_engine(&mut self, index: usize) {
         self.engines[index] = None;
