--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -454,6 +454,11 @@
     /// Records a heartbeat that an endpoint sent to this daemon, and queues it for the other
     /// control daemons. One of an endpoint that drains is sent at once, as a deregistration.
     fn record_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat, effects: &mut Vec<Effect>) {
+        if self.lacks_model_fields(&heartbeat) {
+            let event = journal::Event::new(212, "heartbeat refused", &*heartbeat.id, "no domain");
+            effects.push(Effect::Log(event));
+            return;
+        }
         let draining = heartbeat.draining;
         self.unforwarded_heartbeats.push((heartbeat.clone(), now));
         self.record_in_table(heartbeat, now);
@@ -465,10 +470,21 @@
 
     /// Records a heartbeat that an endpoint has sent to any control daemon, received at `seen_at`.
     fn record_in_table(&mut self, heartbeat: Heartbeat, seen_at: Instant) {
+        if self.lacks_model_fields(&heartbeat) {
+            return;
+        }
         let named = self.document.services.contains_key(&*heartbeat.service);
         self.endpoints.record_heartbeat(heartbeat, seen_at, named);
     }
 
+    /// Whether a heartbeat names a service with model engines but lacks what these send. It comes from
+    /// another writer, and names no endpoint to use.
+    fn lacks_model_fields(&self, heartbeat: &Heartbeat) -> bool {
+        let service = self.document.services.get(&*heartbeat.service);
+        let serves_models = service.is_some_and(|service| service.engine.is_some());
+        serves_models && heartbeat.domain.is_empty() && !heartbeat.gone
+    }
+
     /// Marks an endpoint as gone, and tells the other control daemons at once: the endpoint stops
     /// when it has the answer, also if this daemon ends.
     fn deregister(
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -98,7 +98,7 @@
     /// Availability zone.
     #[prost(string, tag = "4")]
     pub zone: String,
-    /// Fabric domain, empty if it has none.
+    /// Fabric domain; empty if it has none, so that it can't serve a model.
     #[prost(string, tag = "5")]
     pub domain: String,
     /// Unix time of its start in milliseconds; tells incarnations of one identity apart.
--- a/crates/fleet/tests/control/departures.rs
+++ b/crates/fleet/tests/control/departures.rs
@@ -6,7 +6,7 @@
 use dotterelhoist_fleet::control::endpoints::Table;
 use dotterelhoist_fleet::control::Event;
 use dotterelhoist_fleet::endpoint::Heartbeat;
-use dotterelhoist_fleet::message::{Body, Departure, Departures};
+use dotterelhoist_fleet::message::{AgedHeartbeat, Body, Departure, Departures, Heartbeats};
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
@@ -148,6 +148,43 @@
     assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
 }
 
+/// Guards against TWO: a heartbeat without the fields of model endpoints freed the members of an open head.
+#[rstest]
+fn heartbeat_without_a_domain_at_the_address_of_a_head_changes_nothing(
+    #[values(0, 1, 2)] at: usize,
+    #[values(true, false)] forwarded: bool,
+) {
+    let mut cluster = serving_cluster(1);
+    let head = cluster.heads()[0].clone();
+    let before = cluster.open_groups();
+    cluster.releases.clear();
+    let incomplete = Heartbeat {
+        id: "foreign".into(),
+        domain: String::new(),
+        started_unix_ms: 9_000_000,
+        membership: None,
+        ..cluster.engines[&head].heartbeat()
+    };
+    let to = daemon_names()[at].clone();
+    for sequence in 1..8 {
+        let heartbeat = Heartbeat { sequence, ..incomplete.clone() };
+        let event = match forwarded {
+            false => Event::Heartbeat(Box::new(heartbeat)),
+            true => {
+                let heartbeats = vec![AgedHeartbeat { heartbeat: Some(heartbeat), age_ms: 0 }];
+                let body = Body::Heartbeats(Heartbeats { heartbeats });
+                Event::Received { from: daemon_names()[(at + 1) % 3].clone(), body, random: 1 }
+            }
+        };
+        cluster.apply(&to, event);
+        cluster.run(SECOND);
+    }
+    assert!(cluster.releases.is_empty(), "{:?}", cluster.releases);
+    assert!(cluster.heads_in_view.contains(&head));
+    assert_eq!(cluster.open_groups(), before);
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+}
+
 /// An address is used again by an endpoint of another service, which ends the one before.
 #[test]
 fn heartbeat_of_a_named_service_at_the_address_of_an_endpoint_ends_that_one() {
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -370,7 +370,10 @@
         let group = inner.group.as_ref().map(|(name, epoch, state)| {
             json!({ "name": name, "epoch": epoch, "rank": 0, "state": state })
         });
-        json!({ "born": 1, "domain": "d0", "staged": inner.staged, "group": group, "models": [] })
+        json!({
+            "born": 1, "stage": "both", "models": [], "domain": "d0", "staged": inner.staged,
+            "group": group,
+        })
     }
 }
 
@@ -468,6 +471,8 @@
         body["zone"] = json!("z");
         body["slots"] = json!(26);
         body["state"] = json!("ready");
+        body["version"] = json!("v1");
+        body["cold_remaining_ms"] = json!(0);
         let path = format!("/Instances.Heartbeat/{}", engine.id);
         for address in &engine.control_addresses {
             if post(*address, &path, &body.to_string()).await == Some(200) {
