What a heartbeat says of another endpoint is a claim, which its address decides

Cause: a later start, at an address or under an identity, counted as proof that the known incarnation had terminated. Ruled out: that only missing fields make the statement credible (it has none here).

Change: such a heartbeat is a claim. The daemon asks at the address: another endpoint's answer, or the claimant's start, proves it; the known incarnation's own answer refutes it; silence and refused connections decide nothing. has_terminated and Reborn need an incarnation that has answered itself. An answer that names another instance counts as one of another endpoint.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -37,6 +37,7 @@
 mod operators;
 
 use self::distribution::Distributor;
+use self::endpoints::claims::Question;
 use self::limits::Limits;
 use self::operators::{PendingCall, PendingWrite};
 use self::planner::Planner;
@@ -144,6 +145,8 @@
     ProbeFinished {
         /// Identity of the endpoint.
         id: Name,
+        /// Address at which it was asked.
+        address: Name,
         /// What it has shown.
         outcome: probe::Outcome,
     },
@@ -326,10 +329,12 @@
             Event::OrderFinished { ticket, outcome } => {
                 self.planner.record_outcome(now, ticket, outcome, &mut self.endpoints, effects);
             }
-            Event::ProbeFinished { id, outcome } => {
-                self.record_probe(now, &id, outcome, effects);
+            Event::ProbeFinished { id, address, outcome } => {
+                let question = Question { id, address };
+                self.record_probe(now, &question, outcome, effects);
             }
         }
+        self.ask(now, effects);
         self.announce_departures(now, effects);
         self.process_outputs(now, effects);
     }
@@ -506,20 +511,28 @@
     fn record_probe(
         &mut self,
         now: Instant,
-        id: &Name,
+        question: &Question,
         outcome: probe::Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        let Question { id, address } = question;
+        if let Some(verdict) = self.endpoints.decide(now, question, &outcome) {
+            let detail = format!("address={address} verdict={verdict}");
+            effects.push(Effect::Log(journal::Event::new(217, "claim decided", &**id, detail)));
+        }
         match &outcome {
             probe::Outcome::Report(heartbeat) => {
                 self.attribution.record_answer(id, Some(heartbeat.started_unix_ms));
             }
             probe::Outcome::Answered => self.attribution.record_answer(id, None),
-            probe::Outcome::Refused | probe::Outcome::Unanswered => {}
+            probe::Outcome::Refused | probe::Outcome::Replaced | probe::Outcome::Unanswered => {}
         }
         let Some(endpoint) = self.endpoints.find_mut(id) else { return };
+        if *endpoint.heartbeat.address != **address {
+            return;
+        }
         let refused = match outcome {
-            probe::Outcome::Refused => true,
+            probe::Outcome::Refused | probe::Outcome::Replaced => true,
             probe::Outcome::Unanswered => false,
             probe::Outcome::Answered => return endpoint.record_answer(now),
             probe::Outcome::Report(report) => return endpoint.record_report(now, *report),
@@ -533,6 +546,13 @@
         }
     }
 
+    /// Sends the probes that are due to decide what heartbeats claim of other endpoints.
+    fn ask(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        for Question { id, address } in self.endpoints.take_questions(now) {
+            effects.push(Effect::Probe { id, address });
+        }
+    }
+
     /// Proposes a change to the log; returns its index, or none if this daemon does not lead.
     fn propose(&mut self, now: Instant, change: Change) -> Option<u64> {
         let command = Command { change: Some(change) };
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -12,6 +12,10 @@
 use crate::message::Departure as DepartureNotice;
 use crate::Name;
 
+pub mod claims;
+
+use self::claims::{Claim, Restart};
+
 /// Time since an endpoint was last seen after which it is removed from the table.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -84,11 +88,18 @@
     pub outage: Option<Outage>,
     /// Model of the last group in which it was ready, in its current incarnation.
     pub last_served: Option<Name>,
-    /// Whether it counts as the one that uses its address: its service is in the configuration.
+    /// Whether it counts as the one that uses its address: its service is in the configuration, and no
+    /// other endpoint is there.
     holds_address: bool,
+    /// Whether another endpoint uses its address, so that it gets no requests and no orders.
+    denied: bool,
+    /// Whether this incarnation has answered at its address.
+    pub attested: bool,
+    /// Last heartbeat of another incarnation that has not answered yet.
+    restart: Option<Restart>,
     /// When this incarnation deregistered, or another one took its address; none before.
     gone_at: Option<Instant>,
-    /// Whether another endpoint has started at its address, which proves that it has terminated. A
+    /// Whether another endpoint has answered at its address, which proves that it has terminated. A
     /// refused connection is no proof, as a network partition may reset connections.
     pub confirmed_dead: bool,
     /// The group that it has last left by an order of this daemon.
@@ -110,6 +121,8 @@
     unknown_departures: BTreeMap<Name, UnknownDeparture>,
     /// Endpoints that may leave, of which entry daemons may not have been told.
     untold: Vec<Name>,
+    /// Claims that are not decided.
+    claims: Vec<Claim>,
 }
 
 /// Deregistration of an endpoint that is not known, so that its late heartbeats can be told.
@@ -157,8 +170,8 @@
 impl Table {
     /// Records a heartbeat that was received at `last_seen`. Returns false if it is not newer than
     /// the last one, or if an endpoint that started later already uses the same address. `named`
-    /// says whether the configuration names its service: only then does it prove that others at its
-    /// address have terminated, as anybody may state an address.
+    /// says whether the configuration names its service: only then is it a claim that others at its
+    /// address have terminated ([`claims`]).
     pub fn record_heartbeat(
         &mut self,
         heartbeat: Heartbeat,
@@ -167,6 +180,13 @@
     ) -> bool {
         let id: Name = heartbeat.id.as_str().into();
         let is_new = match self.endpoints.get_mut(&id) {
+            Some(endpoint) if named && endpoint.is_restart(&heartbeat) => {
+                if heartbeat.draining && heartbeat.supersedes(&endpoint.heartbeat) {
+                    endpoint.record_gone(last_seen);
+                }
+                self.claim_restart(&id, heartbeat, last_seen);
+                true
+            }
             Some(endpoint) => endpoint.update(heartbeat, last_seen),
             None => self.insert(heartbeat, last_seen),
         };
@@ -233,6 +253,7 @@
         }
         if self.endpoints.values().any(|other| {
             other.holds_address
+                && other.attested
                 && other.heartbeat.address == heartbeat.address
                 && other.heartbeat.started_unix_ms > heartbeat.started_unix_ms
         }) {
@@ -250,26 +271,6 @@
         true
     }
 
-    /// Makes an endpoint the one that uses its address, unless it is already: others there that started
-    /// no later have terminated.
-    fn claim_address(&mut self, id: &Name, now: Instant) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        if std::mem::replace(&mut endpoint.holds_address, true) {
-            return;
-        }
-        let address = endpoint.heartbeat.address.clone();
-        let started = endpoint.heartbeat.started_unix_ms;
-        for (other_id, other) in &mut self.endpoints {
-            let replaced = other_id != id
-                && other.heartbeat.address == address
-                && other.heartbeat.started_unix_ms <= started;
-            if replaced {
-                other.record_gone(now);
-                other.confirmed_dead = true;
-            }
-        }
-    }
-
     /// Marks an endpoint that deregisters as gone. Returns the heartbeat that tells the other control
     /// daemons so, or none if a later incarnation is known than the one that deregisters. `started` is
     /// the start of that incarnation, if the endpoint has stated it.
@@ -322,6 +323,9 @@
             heartbeat,
             last_seen,
             holds_address: false,
+            denied: false,
+            attested: false,
+            restart: None,
             outage: None,
             last_served: None,
             confirmed_dead: false,
@@ -344,9 +348,10 @@
         }
         if heartbeat.address != self.heartbeat.address {
             self.holds_address = false;
+            self.attested = false;
         }
         if restarted {
-            *self = Endpoint { last_seen: self.last_seen, ..Endpoint::open(heartbeat, last_seen) };
+            self.restart_as(heartbeat, last_seen);
         } else {
             self.heartbeat = heartbeat;
         }
@@ -359,8 +364,14 @@
         true
     }
 
-    /// Whether it was last seen less than `timeout` ago, has not terminated or deregistered, and
-    /// has no outage. Suffices for decisions that can be taken back; others need
+    /// Replaces its state by that of a later incarnation.
+    fn restart_as(&mut self, heartbeat: Heartbeat, seen_at: Instant) {
+        let last_seen = self.last_seen.max(seen_at);
+        *self = Endpoint { last_seen, ..Endpoint::open(heartbeat, seen_at) };
+    }
+
+    /// Whether it was last seen less than `timeout` ago, has not terminated or deregistered, nobody else
+    /// is at its address, and has no outage. Suffices for decisions that can be taken back; others need
     /// [`Endpoint::has_failed`].
     pub fn is_alive(&self, now: Instant, timeout: Duration) -> bool {
         self.is_alive_since(now, timeout, Instant::default())
@@ -370,7 +381,13 @@
     /// `since`, the time at which its zone became reachable again.
     pub fn is_alive_since(&self, now: Instant, timeout: Duration, since: Instant) -> bool {
         let recently_seen = now.since(self.last_seen.max(since)) < timeout;
-        !self.heartbeat.gone && self.outage_since(since).is_none() && recently_seen
+        let present = !self.heartbeat.gone && !self.denied;
+        present && self.outage_since(since).is_none() && recently_seen
+    }
+
+    /// Whether another endpoint uses its address.
+    pub fn is_denied(&self) -> bool {
+        self.denied
     }
 
     /// Its outage, unless that began before `since`.
--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -339,7 +339,9 @@
                 let since = inputs.reachability.reachable_since(zone);
                 let silent = now.since(endpoint.last_seen.max(since)) > self.times.probe_after();
                 let outage = endpoint.outage_since(since);
+                let is_other = endpoint.heartbeat.started_unix_ms != member.started_unix_ms;
                 let needs_probe = match outage {
+                    _ if is_other && !endpoint.attested => true,
                     Some(outage) => !outage.refused,
                     None => (silent || suspected) && !makes_progress,
                 };
@@ -440,7 +442,8 @@
                 }
                 return Some(DissolutionReason::Silent);
             };
-            if endpoint.heartbeat.started_unix_ms != member.started_unix_ms {
+            let is_other = endpoint.heartbeat.started_unix_ms != member.started_unix_ms;
+            if is_other && endpoint.attested {
                 return Some(DissolutionReason::Reborn);
             }
             if endpoint.confirmed_dead {
--- a/crates/fleet/src/control/planner/dissolving.rs
+++ b/crates/fleet/src/control/planner/dissolving.rs
@@ -183,9 +183,11 @@
     }
 }
 
-/// Whether the endpoint has terminated or restarted since it became this member.
+/// Whether the endpoint has terminated or restarted since it became this member, as it has shown itself or
+/// as another endpoint at its address has.
 fn has_terminated(inputs: &Inputs<'_>, member: &Member) -> bool {
     inputs.endpoints.find(&member.id).is_some_and(|endpoint| {
-        endpoint.heartbeat.started_unix_ms != member.started_unix_ms || endpoint.confirmed_dead
+        let is_other = endpoint.heartbeat.started_unix_ms != member.started_unix_ms;
+        is_other && endpoint.attested || endpoint.confirmed_dead
     })
 }
--- a/crates/fleet/src/control/planner/stray.rs
+++ b/crates/fleet/src/control/planner/stray.rs
@@ -188,7 +188,7 @@
             let listed = group.members.iter().any(|member| *member.id == **id);
             group.epoch == membership.epoch && listed
         });
-        if !placed && !endpoint.confirmed_dead {
+        if !placed && !endpoint.confirmed_dead && !endpoint.is_denied() {
             reports.push((id, endpoint, membership));
         }
     }
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -9,9 +9,11 @@
     Report(Box<Heartbeat>),
     /// The endpoint responded, but not with its state: it is alive.
     Answered,
-    /// The endpoint is not at this address: the connection was refused, or another endpoint
-    /// responded.
+    /// The connection was refused: nobody listens at this address, or a network partition resets
+    /// connections.
     Refused,
+    /// Another endpoint responded at this address, which proves that this one has terminated.
+    Replaced,
     /// There was no response in time.
     Unanswered,
 }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -7,6 +7,7 @@
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
+mod claims;
 mod cluster;
 mod departures;
 mod engine;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -258,7 +258,7 @@
                     let shell = self.clone();
                     let probe = async move {
                         let outcome = orders::probe(&shell.protocol, &id, &address).await;
-                        shell.apply(Event::ProbeFinished { id, outcome });
+                        shell.apply(Event::ProbeFinished { id, address, outcome });
                     };
                     self.executor.spawn(probe).detach();
                 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -24,6 +24,8 @@
 /// Response of an endpoint.
 struct Response {
     status: u16,
+    /// Identity of the endpoint that responds, if it states that.
+    instance: Option<String>,
     body: bytes::Bytes,
 }
 
@@ -52,8 +54,8 @@
     }
 }
 
-/// Asks an endpoint for a report of its state. It is not at this address if the address is invalid,
-/// the connection is refused, or another endpoint responds (status 421).
+/// Asks an endpoint for a report of its state. Another endpoint at this address responds with status
+/// 421 or names itself; an invalid address counts as one that refuses the connection.
 pub(crate) async fn probe<Platform>(
     protocol: &Platform,
     id: &Name,
@@ -63,14 +65,18 @@
     Platform: Protocol,
 {
     let request = send_request::<Platform>(address, "GET", Platform::REPORT_PATH, Some(id), b"");
+    let is_other = |response: &Response| {
+        let names_other = response.instance.as_ref().is_some_and(|instance| **instance != **id);
+        names_other || response.status == 421
+    };
     match within(PROBE_TIMEOUT, request).await {
+        Some(Ok(response)) if is_other(&response) => probe::Outcome::Replaced,
         Some(Ok(response)) if response.status == 200 => {
             match protocol.decode_report(id, &response.body) {
                 Ok(heartbeat) => probe::Outcome::Report(Box::new(heartbeat)),
                 Err(_) => probe::Outcome::Answered,
             }
         }
-        Some(Ok(response)) if response.status == 421 => probe::Outcome::Refused,
         Some(Ok(_)) => probe::Outcome::Answered,
         Some(Err(Failure::Unreachable)) => probe::Outcome::Refused,
         Some(Err(Failure::NoResponse)) | None => probe::Outcome::Unanswered,
@@ -122,5 +128,7 @@
     let response_head = response_head.map_err(|_| Failure::NoResponse)?;
     let mut reservation = Budget::open(MAX_BODY_BYTES).reserve();
     let body = connection.read_body(response_head.framing, MAX_BODY_BYTES, &mut reservation).await;
-    Ok(Response { status: response_head.status, body: body.map_err(|_| Failure::NoResponse)? })
+    let instance = response_head.headers.find(Platform::HEADERS.instance).map(str::to_owned);
+    let body = body.map_err(|_| Failure::NoResponse)?;
+    Ok(Response { status: response_head.status, instance, body })
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -23,6 +23,8 @@
     /// Identity of the endpoint that the request is meant for; another endpoint at the same address
     /// does not run it.
     pub expected_instance: &'static str,
+    /// Identity of the endpoint that responds.
+    pub instance: &'static str,
     /// Workspace of the caller, added to requests to endpoints.
     pub workspace: &'static str,
     /// Signature of an endpoint's response. Only its presence is checked.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -13,6 +13,8 @@
 mod builds;
 #[path = "platform/callers.rs"]
 mod callers;
+#[path = "platform/claims.rs"]
+mod claims;
 #[path = "platform/crashes.rs"]
 mod crashes;
 #[path = "platform/cuts.rs"]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -20,7 +20,7 @@
 use crate::crashes::Crashes;
 use crate::cuts::Cuts;
 use crate::daemon::{self, address, unique_ips, Build, Settings, PORTS};
-use crate::engine::{unlimited, Engine, Handle, Limit, Rest, Runs, Silence};
+use crate::engine::{unlimited, Addresses, Engine, Handle, Limit, Rest, Runs, Silence};
 use crate::floods::Flood;
 use crate::scripts::Scripts;
 
@@ -69,6 +69,8 @@
     entry: Option<Child>,
     /// Engines, none for one that was stopped.
     engines: Vec<Option<Handle>>,
+    /// Addresses of the engines.
+    addresses: Addresses,
     /// How often the engines have run each request.
     runs: Runs,
     /// Limit that the plain service states.
@@ -105,6 +107,7 @@
             control_daemons: Vec::new(),
             entry: None,
             engines: Vec::new(),
+            addresses: Addresses::default(),
             runs: Runs::default(),
             limit: Limit::default(),
             silence: Silence::default(),
@@ -142,6 +145,7 @@
             id: id.to_owned(),
             service,
             control_addresses: self.control_addresses(),
+            addresses: self.addresses.clone(),
             runs: self.runs.clone(),
             limit: self.limit.clone(),
             silence: self.silence.clone(),
@@ -471,6 +475,23 @@
         self.entry = Some(self.spawn(build, &self.ips[CONTROL_DAEMONS], false));
     }
 
+    /// Sends a heartbeat of another writer, with all fields, to each control daemon: it states the address of
+    /// this endpoint and a later start.
+    pub fn claim_address(&self, id: &str, sequence: u64) {
+        let addresses = self.addresses.lock().expect("no thread panics while it holds the lock");
+        let service = if id == "i-5" { "desk" } else { "llm" };
+        let body = serde_json::json!({
+            "service": service, "address": addresses[id].to_string(), "zone": "z", "version": "v1",
+            "slots": 26, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": 2,
+            "stage": "both", "models": [], "domain": "d0", "staged": [],
+        });
+        let path = format!("/Instances.Heartbeat/stranger-{id}");
+        for control in self.control_addresses() {
+            let reply = send(control, "POST", &path, "", &body.to_string());
+            assert_eq!(reply.map(|reply| reply.status), Some(200));
+        }
+    }
+
     /// Deregisters an endpoint at the first control daemon, and returns the status of the answer. The
     /// stand-in goes on as if it had not been deregistered.
     pub fn deregister(&self, id: &str) -> Option<u16> {
