The log says of a group whether all orders to it were answered, so a new leader seals the others

Orders to join and to open a head that went unanswered under an earlier leader were carried out after their group had been removed.

Cause: GroupState::may_reopen was one leader's memory, and a new leader took 'not seen' for 'answered'.

Change: Group::settled, one entry when a group has opened and all its orders were answered, taken back before another order is sent. A new leader seals the heads of groups without it; older builds ignore the entry, and what they wrote means 'not known'. An order that still waits for its answer counts as outstanding, a head whose model this leader has not seen is sealed with that of its group, and a head that answers and may have joined again is not taken for broken.

--- a/crates/fleet/src/control/planner.rs
+++ b/crates/fleet/src/control/planner.rs
@@ -37,6 +37,7 @@
 mod converting;
 mod dissolving;
 pub mod forming;
+mod settling;
 pub mod staging;
 mod standby;
 mod stray;
@@ -166,9 +167,12 @@
     /// Whether the head has confirmed that it takes no new requests, or the removal of the group
     /// was proposed.
     closed: bool,
-    /// Whether orders to the head may still be carried out late: one to join or to open was not
-    /// answered. Of those of an earlier leader that is not known.
+    /// Whether orders to join or to open may still be carried out late: one was not answered.
     may_reopen: bool,
+    /// Whether an earlier leader may have sent such orders that were not answered.
+    inherits_orders: bool,
+    /// Number of the last settlement that was proposed to the log, and when.
+    settlement: Option<(u64, Instant)>,
     /// Whether the head has seen a later generation since it left, so that no order from before makes
     /// it join or open again.
     sealed: bool,
@@ -190,6 +194,8 @@
     next_ticket: u64,
     /// When this daemon became leader.
     leading_since: Instant,
+    /// Whether the groups that were there when this daemon became leader have been planned for.
+    has_planned: bool,
     /// Orders whose outcome is not yet known, by ticket.
     pending_orders: BTreeMap<u64, PendingOrder>,
     groups: BTreeMap<Generation, GroupState>,
@@ -223,6 +229,7 @@
             times,
             next_ticket: 1,
             leading_since: Instant::default(),
+            has_planned: false,
             pending_orders: BTreeMap::new(),
             groups: BTreeMap::new(),
             strays: stray::Strays::default(),
@@ -268,6 +275,7 @@
                 self.advance_group(inputs, group, is_new_leader, changes, effects);
             }
         }
+        self.has_planned = true;
         self.form_groups(inputs, changes, effects);
         self.load_spares(inputs, effects);
         self.stage_models(inputs, effects);
@@ -392,6 +400,10 @@
         }
         if stages.first().is_some_and(|stage| matches!(stage, Some(Stage::Open))) {
             self.state_of(now, group).opened = true;
+            self.settle(now, group, changes);
+            return;
+        }
+        if !self.unsettle(now, group, changes) {
             return;
         }
         let ready = stages.iter().all(|stage| matches!(stage, Some(Stage::Ready)));
@@ -552,8 +564,9 @@
 
     /// What the leader remembers about a group.
     fn state_of(&mut self, now: Instant, group: &Group) -> &mut GroupState {
+        let inherits_orders = !self.has_planned && !group.settled;
         let state = self.groups.entry(Generation::of(group));
-        state.or_insert_with(|| GroupState::new(now))
+        state.or_insert_with(|| GroupState { inherits_orders, ..GroupState::new(now) })
     }
 
     /// Whether a member may be ordered to join now: it is warm for the model, callers have not sent
@@ -605,6 +618,8 @@
     fn new(now: Instant) -> GroupState {
         GroupState {
             may_reopen: false,
+            inherits_orders: false,
+            settlement: None,
             sealed: false,
             first_seen: now,
             ordered_at: BTreeMap::new(),
--- a/crates/fleet/src/control/planner/dissolving.rs
+++ b/crates/fleet/src/control/planner/dissolving.rs
@@ -19,6 +19,10 @@
 /// Time since a head has left for which it is ordered to join a later generation, which keeps earlier
 /// orders from taking effect. After it, the members are free all the same.
 const SEAL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time since a dissolution began for which a head that responds is ordered to leave although another
+/// member has left long ago, if orders of before may make it serve again. After it, the head counts as
+/// broken.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(20);
 
 impl Planner {
     /// Orders the members of a dissolving group to close and leave, and proposes to remove the
@@ -57,17 +61,14 @@
         let Some(head) = group.head() else { return true };
         let dissolving_since = *self.state_of(now, group).dissolving_since.get_or_insert(now);
         self.forget_returned(inputs, group);
-        if self.is_released(inputs, group, head) {
+        let head_responds = self.responds(inputs, head);
+        let may_return = head_responds
+            && now.since(dissolving_since) < RETURN_TIMEOUT
+            && self.may_have_unanswered_orders(group);
+        if self.is_released(inputs, group, head, may_return) {
             return self.seal_head(inputs, group, head, effects);
         }
         let cancel = !graceful || now.since(dissolving_since) >= GRACEFUL_CLOSE_TIMEOUT;
-        let progressed_at = inputs.progress.get(&*head.id).copied();
-        let head_responds = inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
-            let recently_seen = now.since(endpoint.last_seen) < self.times.loss_timeout()
-                || endpoint.heartbeat.gone;
-            let failed = endpoint.outage.is_some_and(|outage| outage.is_failure(progressed_at));
-            endpoint.heartbeat.started_unix_ms == head.started_unix_ms && !failed && recently_seen
-        });
         let head_timeout = match graceful {
             true => GRACEFUL_CLOSE_TIMEOUT + HEAD_RELEASE_TIMEOUT,
             false => HEAD_RELEASE_TIMEOUT,
@@ -84,6 +85,17 @@
         false
     }
 
+    /// Whether a head is known to respond to orders.
+    fn responds(&self, inputs: &Inputs<'_>, head: &Member) -> bool {
+        let progressed_at = inputs.progress.get(&*head.id).copied();
+        inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
+            let silent_for = inputs.now.since(endpoint.last_seen);
+            let seen = silent_for < self.times.loss_timeout() || endpoint.heartbeat.gone;
+            let failed = endpoint.outage.is_some_and(|outage| outage.is_failure(progressed_at));
+            endpoint.heartbeat.started_unix_ms == head.started_unix_ms && !failed && seen
+        })
+    }
+
     /// Orders the head to close if it may run requests, then to leave. If `cancel` is set, running
     /// requests are cancelled.
     fn release_head(
@@ -141,15 +153,21 @@
     }
 
     /// Whether the head can no longer run a request of this group: it has left, terminated or
-    /// restarted, or another member left so long ago that the head must be broken. A new leader may
-    /// not know the head: one that has terminated sends no heartbeats.
-    fn is_released(&self, inputs: &Inputs<'_>, group: &Group, head: &Member) -> bool {
+    /// restarted, or another member left so long ago that the head must be broken, unless it may have
+    /// joined again since. A new leader may not know the head: one that has terminated sends no heartbeats.
+    fn is_released(
+        &self,
+        inputs: &Inputs<'_>,
+        group: &Group,
+        head: &Member,
+        may_return: bool,
+    ) -> bool {
         let Some(state) = self.groups.get(&Generation::of(group)) else { return false };
         if state.left_at.contains_key(&*head.id) || has_terminated(inputs, head) {
             return true;
         }
         let broken_after = self.times.stall_timeout + Duration::from_millis(500);
-        state.left_at.values().any(|at| inputs.now.since(*at) > broken_after)
+        !may_return && state.left_at.values().any(|at| inputs.now.since(*at) > broken_after)
     }
 
     /// Orders a head that has left to join a standby group, if orders of before may still be carried
@@ -162,9 +180,10 @@
         head: &Member,
         effects: &mut Vec<Effect>,
     ) -> bool {
+        let may_reopen = self.may_have_unanswered_orders(group);
         let state = self.state_of(inputs.now, group);
         let Some(left_at) = state.left_at.get(&*head.id) else { return true };
-        if state.sealed || !state.may_reopen || has_terminated(inputs, head) {
+        if state.sealed || !may_reopen || has_terminated(inputs, head) {
             return true;
         }
         if inputs.now.since(*left_at) >= SEAL_TIMEOUT {
@@ -175,8 +194,9 @@
             return true;
         }
         let endpoint = inputs.endpoints.find(&head.id);
-        let model = endpoint.and_then(|endpoint| endpoint.last_served.clone());
-        let Some(model) = model else { return true };
+        let last_served = endpoint.and_then(|endpoint| endpoint.last_served.clone());
+        let of_group = Some(Name::from(&*group.model)).filter(|model| !model.is_empty());
+        let Some(model) = last_served.or(of_group) else { return true };
         let task = standby_task(inputs, &head.id.as_str().into(), &model);
         self.order_member(inputs, group, head, Purpose::Seal, task, effects);
         false
--- a/crates/fleet/src/control/state_machine.rs
+++ b/crates/fleet/src/control/state_machine.rs
@@ -49,6 +49,23 @@
     pub graceful: bool,
 }
 
+/// Command to record whether orders to a group may still be carried out.
+#[derive(Clone, PartialEq, Message)]
+pub struct GroupSettlement {
+    /// Name of the group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Generation of the group.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// New value of [`Group::settled`].
+    #[prost(bool, tag = "3")]
+    pub settled: bool,
+    /// New value of [`Group::settlement`].
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+}
+
 /// A change of the replicated state.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Change {
@@ -68,13 +85,16 @@
     /// Records that callers have sent requests; `false` changes nothing.
     #[prost(bool, tag = "5")]
     MarkTraffic(bool),
+    /// Records whether orders to a group may still be carried out; ignored by older builds.
+    #[prost(message, tag = "7")]
+    SettleGroup(GroupSettlement),
 }
 
 /// The command of a log entry.
 #[derive(Clone, PartialEq, Message)]
 pub struct Command {
     /// The change; none if the entry changes nothing.
-    #[prost(oneof = "Change", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "Change", tags = "2, 3, 4, 5, 6, 7")]
     pub change: Option<Change>,
 }
 
@@ -102,6 +122,13 @@
     /// Whether running requests may finish while it is being dissolved.
     #[prost(bool, tag = "7")]
     pub graceful: bool,
+    /// Whether all orders to join or open it have been answered, and none is sent before this is taken back. If
+    /// not, orders of any leader may still be carried out. Not set for groups of older builds.
+    #[prost(bool, tag = "8")]
+    pub settled: bool,
+    /// Number of the last change of `settled`, 0 before the first.
+    #[prost(uint64, tag = "9")]
+    pub settlement: u64,
 }
 
 /// The replicated state.
@@ -143,6 +170,13 @@
                 self.groups.remove(&name);
             }
             Change::MarkTraffic(seen) => self.traffic_seen |= seen,
+            Change::SettleGroup(settlement) => {
+                let group = self.groups.get_mut(&settlement.group);
+                if let Some(group) = group.filter(|group| group.epoch == settlement.epoch) {
+                    group.settled = settlement.settled;
+                    group.settlement = settlement.number;
+                }
+            }
         }
     }
 
@@ -164,8 +198,7 @@
             service: placement.service,
             model: placement.model,
             members: placement.members,
-            dissolving: false,
-            graceful: false,
+            ..Group::default()
         };
         self.groups.insert(name, group);
     }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -68,6 +68,8 @@
     pub up_to_date_reports: Vec<(Name, u64)>,
     /// Heads of which the entry daemon of the other zone reports progress.
     pub progress: Vec<String>,
+    /// Number of orders to join a standby group.
+    pub joins_of_standby: usize,
     /// Number of probes of engines.
     pub probes: usize,
     /// Whether no probe is answered.
@@ -130,6 +132,7 @@
             suspects: Vec::new(),
             up_to_date_reports: Vec::new(),
             progress: Vec::new(),
+            joins_of_standby: 0,
             probes: 0,
             unanswered_probes: false,
             barred: BTreeSet::new(),
@@ -490,6 +493,9 @@
                     self.inbox.push((name.clone(), Event::Persisted(sequence)));
                 }
                 Effect::Order(order) => {
+                    if matches!(&order.task, Task::Join { members, .. } if members.len() == 1) {
+                        self.joins_of_standby += 1;
+                    }
                     if matches!(order.task, Task::Close { .. } | Task::Leave { .. }) {
                         self.releases.push(order.clone());
                     }
--- a/crates/fleet/tests/control/late.rs
+++ b/crates/fleet/tests/control/late.rs
@@ -25,6 +25,8 @@
     times: usize,
     /// Whether orders to the head of a group, and to other members, are late.
     to: (bool, bool),
+    /// Time after which they are carried out.
+    after: Duration,
 }
 
 fn kind_of(task: &Task) -> &'static str {
@@ -55,7 +57,7 @@
             }
             let count = seen.entry((order.endpoint.clone(), kind)).or_default();
             *count += 1;
-            (*count <= self.times).then_some(LATE)
+            (*count <= self.times).then_some(self.after)
         })
     }
 }
@@ -90,7 +92,7 @@
     #[values(false, true)] leader_changes: bool,
     #[values(0, 700, 2500)] heartbeats_late_ms: u64,
 ) {
-    let mut cluster = cluster_with_late_orders(LateKinds { kinds, times, to });
+    let mut cluster = cluster_with_late_orders(LateKinds { kinds, times, to, after: LATE });
     let head = cluster.heads()[0].clone();
     let leaving = cluster.members(&head)[2].clone();
     let delay = Duration::from_millis(heartbeats_late_ms);
@@ -115,6 +117,81 @@
     assert_eq!(cluster.open_groups(), 1, "the free endpoints have not formed a group again");
 }
 
+/// How the leader changes after the group has opened, before it is dissolved.
+#[derive(Clone, Copy, Debug)]
+enum LeaderChange {
+    Killed,
+    KilledTwice,
+    AllRestart,
+}
+
+/// Guards against TWO: a new leader freed a head whose late orders, of an earlier leader, opened it unseen.
+#[rstest]
+fn group_reopened_by_late_orders_of_an_earlier_leader_is_kept_from_it(
+    #[values(&["join"], &["open"], &["join", "open"], &["join", "open", "standby"])]
+    kinds: &'static [&'static str],
+    #[values(1, 2, 3)] times: usize,
+    #[values((true, false), (true, true))] to: (bool, bool),
+    #[values(LeaderChange::Killed, LeaderChange::KilledTwice, LeaderChange::AllRestart)]
+    change: LeaderChange,
+    #[values(9, 13, 18)] late_s: u32,
+    #[values(0, 3000)] heartbeats_late_ms: u64,
+) {
+    let after = SECOND * late_s;
+    let mut cluster = cluster_with_late_orders(LateKinds { kinds, times, to, after });
+    let head = cluster.heads()[0].clone();
+    let leaving = cluster.members(&head)[2].clone();
+    for _ in 0..if matches!(change, LeaderChange::KilledTwice) { 2 } else { 1 } {
+        let killed = match change {
+            LeaderChange::AllRestart => daemon_names(),
+            _ => vec![cluster.leader().expect("a leader")],
+        };
+        for daemon in &killed {
+            cluster.kill(daemon);
+        }
+        cluster.run(SECOND / 3);
+        for daemon in &killed {
+            cluster.start(daemon, &format!("{daemon}#0"));
+        }
+        assert!(cluster.run_until(SECOND * 4, |cluster| cluster.leader().is_some()), "no leader");
+    }
+    let delay = Duration::from_millis(heartbeats_late_ms);
+    let late = head.clone();
+    cluster.heartbeat_delay = Box::new(move |heartbeat, _| match *heartbeat.id == *late {
+        true => delay,
+        false => Duration::ZERO,
+    });
+    cluster.deregister(&leaving);
+    cluster.run_until(after, |cluster| cluster.engines[&head].membership.is_none());
+    cluster.run_until(after, |cluster| cluster.open_groups() > 0);
+    cluster.add_engine(7, "d0");
+    cluster.run(SETTLED);
+    assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+    assert_eq!(cluster.open_groups(), 1, "the free endpoints have not formed a group again");
+}
+
+/// A group whose orders were all answered is not held up by a change of leader, nor is its head sealed.
+#[rstest]
+fn head_of_a_settled_group_is_not_sealed(#[values(true, false)] leader_changes: bool) {
+    let late = LateKinds { kinds: &[], times: 0, to: (false, false), after: LATE };
+    let mut cluster = cluster_with_late_orders(late);
+    let head = cluster.heads()[0].clone();
+    if leader_changes {
+        let leader = cluster.leader().expect("a leader");
+        cluster.kill(&leader);
+        cluster.run(SECOND * 3);
+    }
+    let daemon = cluster.leader().expect("a leader");
+    let groups = &cluster.daemons[&daemon].state_machine().groups;
+    assert!(groups.values().all(|group| group.settled), "{groups:?}");
+    let leaving = cluster.members(&head)[2].clone();
+    cluster.joins_of_standby = 0;
+    cluster.deregister(&leaving);
+    let removed = |cluster: &Cluster| cluster.daemons[&daemon].state_machine().groups.is_empty();
+    assert!(cluster.run_until(SECOND * 2, removed), "the group was not removed");
+    assert_eq!(cluster.joins_of_standby, 0, "its head was sealed");
+}
+
 /// Guards against TWO at each moment of a group that opens without the log: its members must wait.
 #[rstest]
 fn group_opened_without_the_log_is_closed_and_left_before_its_members_join(
@@ -123,7 +200,7 @@
     #[values(Some(0), None)] rank: Option<u32>,
     #[values(0, 500, 1200)] wait_ms: u64,
 ) {
-    let late = LateKinds { kinds: &[], times: 0, to: (false, false) };
+    let late = LateKinds { kinds: &[], times: 0, to: (false, false), after: LATE };
     let mut cluster = cluster_with_late_orders(late);
     let head = cluster.heads()[0].clone();
     let members = cluster.members(&head);
@@ -156,7 +233,7 @@
 /// to be in when it is ordered to leave.
 #[test]
 fn endpoint_that_always_reports_an_unknown_group_holds_up_nobody() {
-    let late = LateKinds { kinds: &[], times: 0, to: (false, false) };
+    let late = LateKinds { kinds: &[], times: 0, to: (false, false), after: LATE };
     let mut cluster = cluster_with_late_orders(late);
     let head = cluster.heads()[0].clone();
     let members = cluster.members(&head);
