One place decides what an interim and a final response is; all else ends the attempt

On other systems callers got answers with status 000. Here callers waited until their deadline after codes below 100 and 101, and got 600 to 999 as answers (users' path); on the own interface 100, 101 and 103 with a length were answers (MIXED).

Cause: each reader had a rule of its own, and none for what is no status. Ruled out: 000 as an answer to a caller, on both paths (it was skipped, and refused).

Change: 100 and 102 to 199 are interim, 200 to 599 final; anything else is malformed and ends the attempt as one whose outcome is not known, for requests, relayed ones, probes and orders. The own interface ends an attempt whose answer is interim, as its library can't read on.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -166,8 +166,9 @@
         Ok(Answer { length: response.len(), response, connection })
     }
 
-    /// Rejects an answer with which the endpoint declines the request, and an answer whose body has
-    /// neither one length nor chunked encoding, because its truncation would go unnoticed.
+    /// Rejects an answer with which the endpoint declines the request, an interim answer, which is not that to
+    /// the request, and an answer whose body has neither one length nor chunked encoding, because its truncation
+    /// would go unnoticed. `async-h1` has rejected all that is no status.
     fn validate(&self, answer: Answer) -> Result<Answer, End> {
         let response = &answer.response;
         let status: u16 = response.status().into();
@@ -175,6 +176,9 @@
         if matches!(status, 429 | 503) && not_run {
             return Err(End::Declined);
         }
+        if response.status().is_informational() {
+            return Err(End::Lost { tokens: 0, forwarded: false, crashed: false });
+        }
         let is_chunked = response
             .header(TRANSFER_ENCODING)
             .is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("chunked"));
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -23,6 +23,7 @@
 
 use self::body::Step;
 use self::head::{parse_request_head, parse_response_head};
+use self::status::Kind;
 
 use crate::memory::Reservation;
 
@@ -34,6 +35,7 @@
 
 mod body;
 mod head;
+mod status;
 
 /// Size of the buffer for one read from a socket.
 const READ_BUFFER_BYTES: usize = 16 << 10;
@@ -164,7 +166,7 @@
         }
     }
 
-    /// Reads the head of the response to a request with this method; skips interim (1xx) responses of
+    /// Reads the head of the response to a request with this method; skips interim (100 and 102 to 199) responses of
     /// together at most `max_bytes`. A head that is still incomplete once more than `max_bytes` are
     /// buffered is too long.
     ///
@@ -181,7 +183,7 @@
         loop {
             if let Some((head, length)) = parse_response_head(&self.buffer, method)? {
                 self.buffer.advance(length);
-                if head.status >= 200 {
+                if Kind::of(head.status)? == Kind::Final {
                     return Ok(head);
                 }
                 interim_bytes += length;
--- a/crates/gateway/tests/http.rs
+++ b/crates/gateway/tests/http.rs
@@ -137,6 +137,33 @@
     });
 }
 
+/// Guards against MIXED and requests that wait in vain: what is no status was an answer, or an interim response.
+#[rstest]
+fn response_with_a_status_that_is_none_is_malformed(
+    #[values("000", "001", "099", "101", "600", "700", "999", "20", "2000", "+20", "abc", "2.0")]
+    status: &str,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] before: &str,
+    #[values("", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")] after: &str,
+) {
+    smol::block_on(async {
+        let bytes = format!("{before}HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n{after}");
+        let (mut connection, _) = connection_with(bytes.as_bytes(), false).await;
+        let head = connection.read_response_head("POST", 8192).await;
+        assert!(matches!(head, Err(Error::Malformed(_))), "{head:?}");
+    });
+}
+
+#[rstest]
+fn response_interim_of_any_code_is_skipped(#[values(100, 102, 103, 150, 199)] interim: u16) {
+    smol::block_on(async {
+        let bytes =
+            format!("HTTP/1.1 {interim} Wait\r\n\r\nHTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n");
+        let (mut connection, _open) = connection_with(bytes.as_bytes(), true).await;
+        let head = connection.read_response_head("POST", 8192).await.expect("a final response");
+        assert_eq!(head.status, 599);
+    });
+}
+
 /// Bytes of a response that a peer sends as long as it is read, followed by a close.
 const FLOOD_BYTES: usize = 1 << 20;
 
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -357,3 +357,22 @@
         assert!(!scenario.plain_service.history.executions().is_empty());
     });
 }
+
+/// Guards against MIXED: an interim answer, or what is no status, was passed on as the answer.
+#[rstest]
+fn answer_whose_status_is_none_is_not_delivered(
+    #[values("000", "001", "099", "100", "101", "103", "600", "999", "20")] status: &str,
+    #[values(true, false)] safe: bool,
+) {
+    smol::block_on(async {
+        let scenario = scenario().await;
+        let address = scenario.deployment.caller_addresses()[0];
+        let bytes = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 4\r\n\r\ndone").into_bytes();
+        scenario.plain_service.set_bytes(Some(RawBytes { bytes, answer_follows: false }));
+        let booking = Call::plain(PLAIN_SERVICE, TOKEN, "/book", "b");
+        let request = if safe { look_up(1) } else { booking };
+        let reply = call(address, &request).await.expect("the daemon answers");
+        assert!((500..=599).contains(&reply.status), "{status}: {}", reply.body);
+        assert!(safe || reply.run_status() == "unknown", "{status}: {}", reply.body);
+    });
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -45,6 +45,8 @@
 mod seeds;
 #[path = "platform/seeds_soak.rs"]
 mod seeds_soak;
+#[path = "platform/statuses.rs"]
+mod statuses;
 
 /// Number of requests that one call of [`serve_all`] sends.
 const REQUESTS: usize = 40;
