Own interface: all answers that a daemon holds share one budget of memory

24 bookings whose answers never end took a daemon to 1,385,248 KB, several times the memory of a VM; there all requests of all callers end with it (LOST). The report came from other operators.

Cause: an answer that is read completely may have 64 MiB, and nothing limited all of them together. Ruled out: heads, trailers and orders (limited), streams (forwarded as they arrive); the users' path has a budget for all bodies.

Change: what answers hold beyond 64 KiB each comes from 96 MiB. An attempt that gets none has failed with its outcome not known. The share is held until the answer has been sent.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,12 +1,16 @@
 //! The listener for callers, and the task that handles each request.
 
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use dotterelhoist_core::control::command::{Run, RunResult};
 use dotterelhoist_core::event::Event;
 use dotterelhoist_core::request::{Call, Decision, Dispatch, End, Reason, Refusal, Request};
 use dotterelhoist_core::Name;
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::io::Cursor;
+use futures_lite::{AsyncBufRead, AsyncRead, AsyncReadExt, FutureExt};
 use http_types::headers::{AUTHORIZATION, CONTENT_TYPE};
 use http_types::{Body, Method, Response, StatusCode};
 use sha2::{Digest, Sha256};
@@ -17,6 +21,7 @@
 
 use crate::clock;
 use crate::http::{self, Handler, Limits, Socket};
+use crate::memory::{Budget, Share};
 use crate::prompt;
 use crate::reactor::{Handle, Input, Instruction, Permission, TaskHandle};
 use crate::relay::{self, into_reader, Relay};
@@ -29,12 +34,18 @@
 /// Longest answer that may be read completely before any of it is forwarded. An attempt with a
 /// longer answer ends as [`End::Lost`]. Streams are not limited.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 64 << 20;
+/// Bytes of answers that are held at the same time; an attempt whose answer needs more has failed.
+pub(crate) const MAX_HELD_ANSWER_BYTES: usize = 96 << 20;
+/// Bytes of an answer that are read at once.
+const ANSWER_PART_BYTES: usize = 16 << 10;
 /// Instructions that may be queued for the task of a request; the reactor drops any more.
 const MAX_QUEUED_INSTRUCTIONS: usize = 8;
 
 /// Handles requests of callers.
 #[derive(Clone, Debug)]
 pub(crate) struct Callers {
+    /// Memory for the answers that are read before they are forwarded.
+    pub answer_memory: Budget,
     pub reactor: Handle,
     /// Idle connections to endpoints.
     pub pool: Pool,
@@ -275,8 +286,8 @@
     /// # Errors
     ///
     /// Returns how the attempt ended if the answer is truncated or longer than
-    /// [`MAX_BUFFERED_ANSWER_BYTES`], if the attempt has to stop before the end of the answer, or
-    /// if the permission to forward it has expired.
+    /// [`MAX_BUFFERED_ANSWER_BYTES`], if there is no memory for it, if the attempt has to stop before the
+    /// end of the answer, or if the permission to forward it has expired.
     async fn read_answer(
         &self,
         dispatch: &Dispatch,
@@ -284,16 +295,26 @@
     ) -> Result<CompleteAnswer, End> {
         let Answer { mut response, length, connection } = received;
         let mut bytes = Vec::new();
+        let mut share = self.callers.answer_memory.share();
         let read = async {
-            let mut body = (&mut response).take(MAX_BUFFERED_ANSWER_BYTES as u64 + 1);
-            let connection_failed = |_| End::Lost { tokens: 0, forwarded: false, crashed: true };
-            body.read_to_end(&mut bytes).await.map_err(connection_failed)?;
-            Ok(())
+            let mut part = vec![0; ANSWER_PART_BYTES];
+            loop {
+                let connection_failed =
+                    |_| End::Lost { tokens: 0, forwarded: false, crashed: true };
+                let count = response.read(&mut part).await.map_err(connection_failed)?;
+                if count == 0 {
+                    return Ok(());
+                }
+                let total = bytes.len() + count;
+                if total > MAX_BUFFERED_ANSWER_BYTES || !share.grow(total) {
+                    return Err(End::Lost { tokens: 0, forwarded: false, crashed: false });
+                }
+                bytes.extend_from_slice(&part[..count]);
+            }
         };
         read.or(self.wait_for_interruption(dispatch)).await?;
-        let is_complete = length.is_none_or(|length| length == bytes.len());
-        if !is_complete || bytes.len() > MAX_BUFFERED_ANSWER_BYTES {
-            return Err(End::Lost { tokens: 0, forwarded: false, crashed: !is_complete });
+        if length.is_some_and(|length| length != bytes.len()) {
+            return Err(End::Lost { tokens: 0, forwarded: false, crashed: true });
         }
         if !self.permission.is_valid() {
             return Err(End::Lost { tokens: 0, forwarded: false, crashed: false });
@@ -304,6 +325,7 @@
             status: response.status(),
             content_type: content_type.unwrap_or_default(),
             bytes,
+            share,
         })
     }
 
@@ -398,12 +420,42 @@
     /// Content type, empty if there is none.
     content_type: String,
     bytes: Vec<u8>,
+    /// Memory that the bytes hold.
+    share: Share,
+}
+
+/// The bytes of an answer while they are sent to its caller.
+struct HeldBytes {
+    bytes: Cursor<Vec<u8>>,
+    _share: Share,
+}
+
+impl AsyncRead for HeldBytes {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.bytes).poll_read(context, buffer)
+    }
+}
+
+impl AsyncBufRead for HeldBytes {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().bytes).poll_fill_buf(context)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, count: usize) {
+        Pin::new(&mut self.bytes).consume(count);
+    }
 }
 
 impl CompleteAnswer {
     fn into_response(self) -> Response {
         let mut response = Response::new(self.status);
-        response.set_body(Body::from_bytes(self.bytes));
+        let length = self.bytes.len();
+        let held = HeldBytes { bytes: Cursor::new(self.bytes), _share: self.share };
+        response.set_body(Body::from_reader(held, Some(length)));
         if !self.content_type.is_empty() {
             response.insert_header(CONTENT_TYPE, self.content_type);
         }
@@ -489,8 +541,11 @@
 /// Response with the answer recorded for an idempotency key.
 fn replay(result: RunResult) -> Response {
     let status = StatusCode::try_from(result.status as u16).unwrap_or(StatusCode::Ok);
-    let answer = CompleteAnswer { status, content_type: result.content_type, bytes: result.answer };
-    let mut response = answer.into_response();
+    let mut response = Response::new(status);
+    response.set_body(Body::from_bytes(result.answer));
+    if !result.content_type.is_empty() {
+        response.insert_header(CONTENT_TYPE, result.content_type);
+    }
     response.insert_header(REPLAYED_HEADER, "true");
     response
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -18,11 +18,12 @@
 use smol::channel::{bounded, unbounded, Receiver};
 use smol::net::TcpListener;
 
-use crate::callers::{self, Callers};
+use crate::callers::{self, Callers, MAX_HELD_ANSWER_BYTES};
 use crate::endpoints::Endpoints;
 use crate::http::{self, Limits};
 use crate::links::Links;
 use crate::log_writer::Writer;
+use crate::memory::Budget;
 use crate::metrics::Meter;
 use crate::operators::{read_tokens, Operators};
 use crate::reactor::{random_u64, Handle, Reactor};
@@ -209,6 +210,7 @@
         };
         let internal_limits = Limits { max_connections: MAX_INTERNAL_CONNECTIONS, ..limits };
         let callers = Callers {
+            answer_memory: Budget::open(MAX_HELD_ANSWER_BYTES),
             reactor: handle.clone(),
             pool: Pool::default(),
             limits,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod journal;
 mod links;
 mod log_writer;
+mod memory;
 mod metrics;
 mod operators;
 mod prompt;
--- a/crates/testkit/src/plain.rs
+++ b/crates/testkit/src/plain.rs
@@ -34,6 +34,8 @@
     CutChunks = 5,
     /// Runs the call and sends the head of an answer without end.
     EndlessHead = 6,
+    /// Runs the call and sends the body of an answer without end.
+    EndlessBody = 7,
 }
 
 /// State that the connections of a service share with its handle.
@@ -173,6 +175,13 @@
                 smol::future::yield_now().await;
             }
         }
+        if behavior == Behavior::EndlessBody as u8 {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await?;
+            let chunk = [b"8000\r\n".as_slice(), &[b'y'; 0x8000], b"\r\n"].concat();
+            loop {
+                stream.write_all(&chunk).await?;
+            }
+        }
         let mut response = Response::new(StatusCode::Ok);
         let answer = json!({ "run": index, "by": request_id, "body": body });
         response.set_body(answer.to_string());
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -376,3 +376,41 @@
         assert!(safe || reply.run_status() == "unknown", "{status}: {}", reply.body);
     });
 }
+
+/// Answers without end that are read at the same time.
+const ENDLESS_ANSWERS: usize = 24;
+/// Memory of the VM of a daemon, which the users' letter on sizes states.
+const VM_MEMORY_KB: u64 = 256 << 10;
+
+/// Highest resident memory of a process so far.
+fn peak_memory_kb(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    line.trim().trim_end_matches("kB").trim().parse().expect("a number of kilobytes")
+}
+
+/// Guards against LOST: answers without end filled the memory of the daemon, and all its requests ended with it.
+#[test]
+fn answers_without_end_do_not_fill_the_memory() {
+    smol::block_on(async {
+        let mut scenario = scenario().await;
+        let address = scenario.deployment.caller_addresses()[0];
+        scenario.plain_service.set_behavior(Behavior::EndlessBody);
+        let request =
+            |number: usize| Call::plain(PLAIN_SERVICE, TOKEN, "/book", &format!("b{number}"));
+        let callers: Vec<_> = (0..ENDLESS_ANSWERS)
+            .map(|number| smol::spawn(async move { call(address, &request(number)).await }))
+            .collect();
+        for caller in callers {
+            let reply = caller.await.expect("the daemon answers");
+            assert!(reply.status >= 500, "{}", reply.status);
+        }
+        scenario.plain_service.set_behavior(Behavior::Answer);
+        // The endpoint is left alone for a time after its failures.
+        while call(address, &look_up(1)).await.expect("the daemon answers").status != 200 {
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        let peak_kb = peak_memory_kb(scenario.deployment.process("zone-a-0").id());
+        assert!(peak_kb < VM_MEMORY_KB, "{peak_kb} KB");
+    });
+}
