Sums of numbers that endpoints state don't overflow

The release build wrapped around: the endpoint counted as idle.

Cause: sums of what others state, in their own width. Ruled out: nesting (the decoder stops at 128 levels) and ports out of range (refused).

Change: the sums of loads, slots and sequence numbers stop at the highest number, or are done as f64.

Measured: both tests of tests/platform/odd.rs fail before, by daemons that end, and pass now; the own interface passed its test at once.

--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -351,8 +351,10 @@
         for subscriber in self.distributor.subscribers.values().filter(recent) {
             for running in &subscriber.report.running {
                 let Some(position) = self.distributor.positions.get(&running.id) else { continue };
-                totals.running[*position] += running.count;
-                totals.backlog[*position] += running.backlog;
+                let (load, backlog) =
+                    (&mut totals.running[*position], &mut totals.backlog[*position]);
+                *load = load.saturating_add(running.count);
+                *backlog = backlog.saturating_add(running.backlog);
             }
         }
         totals
--- a/crates/fleet/src/control/endpoints.rs
+++ b/crates/fleet/src/control/endpoints.rs
@@ -288,7 +288,7 @@
             return None;
         }
         endpoint.record_gone(now);
-        endpoint.heartbeat.sequence += 1;
+        endpoint.heartbeat.sequence = endpoint.heartbeat.sequence.saturating_add(1);
         self.untold.push(id.into());
         Some(endpoint.heartbeat.clone())
     }
--- a/crates/fleet/src/entry/targets.rs
+++ b/crates/fleet/src/entry/targets.rs
@@ -252,7 +252,7 @@
     /// Total number of slots of the endpoints that meet a requirement.
     pub fn capacity(&self, requirement: &Requirement) -> u32 {
         let serving = self.targets.values().filter(|target| target.meets(requirement));
-        serving.map(|target| target.description.slots).sum()
+        serving.fold(0, |total, target| target.description.slots.saturating_add(total))
     }
 
     /// When the first of the endpoints that meet a requirement, other than those in `tried`, ends
@@ -336,7 +336,7 @@
     /// can only raise the known load; the next loads from the control daemon replace it.
     pub fn record_load(&mut self, id: &Name, running: u32, waiting: u32) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        let stated_load = running + waiting;
+        let stated_load = running.saturating_add(waiting);
         target.others_running =
             target.others_running.max(stated_load.saturating_sub(target.running));
     }
@@ -407,12 +407,14 @@
 
     /// Number of requests of all entry daemons in flight there.
     fn load(&self) -> f64 {
-        f64::from(self.running + self.others_running)
+        f64::from(self.running) + f64::from(self.others_running)
     }
 
     /// Expected wait of a new request, as the number of prompt tokens that take as long to process.
     fn expected_wait_tokens(&self) -> f64 {
-        f64::from(self.backlog + self.others_backlog) + self.load() * WAIT_TOKENS_PER_REQUEST
+        f64::from(self.backlog)
+            + f64::from(self.others_backlog)
+            + self.load() * WAIT_TOKENS_PER_REQUEST
     }
 
     /// Load at which it is sent no more requests.
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -414,3 +414,51 @@
         assert!(peak_kb < VM_MEMORY_KB, "{peak_kb} KB");
     });
 }
+
+/// Bodies of announcements of another writer: nested deeply, or with numbers out of range.
+fn odd_announcements() -> Vec<String> {
+    let max = u64::MAX;
+    let most = u32::MAX;
+    let announcement = |address: &str, plain: bool, group: &str| {
+        serde_json::json!({
+            "vm": format!("odd-{plain}"), "address": address, "zone": "zone-a", "fabric-domain": "d",
+            "accelerators": most, "labels": { "pool": "odd" }, "incarnation": max, "sequence": max,
+            "group": group, "generation": max, "rank": most, "members": most, "phase": "ready",
+            "model": "odd", "slots": most, "load": most, "leaving": false, "fences": true,
+            "plain": plain, "step-ms": most,
+        })
+        .to_string()
+    };
+    let nested = "[".repeat(200_000);
+    vec![
+        nested.clone(),
+        format!("{{\"labels\":{nested}"),
+        format!("{{\"more\":{nested}"),
+        announcement("127.0.0.1:0", true, ""),
+        announcement("127.0.0.1:70000", true, ""),
+        announcement("127.0.0.1:9", true, ""),
+        announcement("127.0.0.1:9", false, "assist/zone-a/1"),
+        announcement("127.0.0.1:9", false, ""),
+        announcement("127.0.0.1:9", false, "").replace("4294967295", "4294967296"),
+    ]
+}
+
+/// Guards against processes that end by themselves: odd entries among the announcements of endpoints.
+#[test]
+fn announcements_with_odd_values_end_no_daemon() {
+    smol::block_on(async {
+        let mut scenario = scenario().await;
+        let address = scenario.deployment.caller_addresses()[0];
+        let announcements = scenario.deployment.announcement_addresses("zone-a")[0];
+        for (number, body) in odd_announcements().into_iter().cycle().take(27).enumerate() {
+            let length = body.len();
+            let head = format!(
+                "POST /v1/announce HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n"
+            );
+            send_raw(announcements, (head + &body).as_bytes(), true).await;
+            let served = call(address, &look_up(number)).await.expect("the daemon answers");
+            assert_eq!(served.status, 200, "{}", served.body);
+        }
+        assert!(!scenario.deployment.process("zone-a-0").has_ended());
+    });
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -37,6 +37,8 @@
 mod floods;
 #[path = "platform/forwarding.rs"]
 mod forwarding;
+#[path = "platform/odd.rs"]
+mod odd;
 #[path = "platform/relays.rs"]
 mod relays;
 #[path = "platform/scripts.rs"]
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -492,6 +492,27 @@
         }
     }
 
+    /// Sends a call with this body to each control daemon, whatever it answers.
+    pub fn call_all_control_daemons(&self, path: &str, body: &str) {
+        for control in self.control_addresses() {
+            send(control, "POST", path, "", body);
+        }
+    }
+
+    /// IP addresses of daemons that have ended by themselves.
+    pub fn ended_daemons(&mut self) -> Vec<String> {
+        let daemons = self.control_daemons.iter_mut().chain([&mut self.entry]);
+        let has_ended = |child: &mut Option<Child>| {
+            child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        };
+        let ended = self
+            .ips
+            .iter()
+            .zip(daemons)
+            .filter_map(|(ip, child)| has_ended(child).then(|| ip.clone()));
+        ended.collect()
+    }
+
     /// Deregisters an endpoint at the first control daemon, and returns the status of the answer. The
     /// stand-in goes on as if it had not been deregistered.
     pub fn deregister(&self, id: &str) -> Option<u16> {
