Tests: stops over a relay, and many responses without end, end no request and fill no memory

For two reports of other operators that could not be seen on the users' path. Requests over a relay that gets SIGTERM, with and without SIGHUP before, are all answered, or refused and not run; 80 responses without end at a time leave the entry daemon under 160 MB.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -525,13 +525,26 @@
         self.engines[index] = None;
     }
 
+    /// Highest resident memory of the entry daemon so far.
+    pub fn entry_peak_memory_kb(&self) -> u64 {
+        let entry = self.entry.as_ref().expect("the entry daemon was started");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", entry.id()));
+        let status = status.expect("the entry daemon runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        line.trim().trim_end_matches("kB").trim().parse().expect("a number of kilobytes")
+    }
+
     /// Sends SIGTERM to the entry daemon.
     pub fn terminate_entry(&self) {
+        self.signal_entry(rustix::process::Signal::TERM);
+    }
+
+    /// Sends a signal to the entry daemon.
+    pub fn signal_entry(&self, signal: rustix::process::Signal) {
         let Some(entry) = &self.entry else { return };
         let pid = i32::try_from(entry.id()).ok().and_then(rustix::process::Pid::from_raw);
         let pid = pid.expect("a valid process id");
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM)
-            .expect("the entry daemon runs");
+        rustix::process::kill_process(pid, signal).expect("the entry daemon runs");
     }
 
     /// Waits for the entry daemon to exit and returns whether it did so with success in time.
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -51,6 +51,35 @@
     deployment.check_run_counts();
 }
 
+/// Responses without end at the same time, more than the endpoints take at once.
+const MANY_ENDLESS_MESSAGES: usize = 80;
+/// Memory of the smallest VM of an entry daemon, as the users' pages state it.
+const ENTRY_VM_MEMORY_KB: u64 = 160 << 10;
+
+/// Guards against LOST: bytes without end filled the memory of an entry daemon, and the requests of all callers ended with it.
+#[rstest]
+#[case::event(Flood::Event)]
+#[case::chunked_event(Flood::ChunkedEvent)]
+#[case::known_events(Flood::KnownEvents)]
+#[case::head(Flood::Head)]
+#[case::declined(Flood::Declined)]
+fn many_responses_without_end_do_not_fill_the_memory(#[case] flood: Flood) {
+    let mut deployment = Deployment::start();
+    deployment.wait_for_two_groups();
+    let callers: Vec<_> = (0..MANY_ENDLESS_MESSAGES)
+        .map(|number| {
+            deployment.request_in_background(&format!("f{number}-0"), Kind::Endless(flood))
+        })
+        .collect();
+    for caller in callers {
+        let exchange = caller.join().expect("the caller's thread does not panic");
+        assert_ne!(exchange.reply.map(|reply| reply.status), Some(200));
+    }
+    assert_eq!(deployment.ended_daemons(), Vec::<String>::new());
+    let peak_kb = deployment.entry_peak_memory_kb();
+    assert!(peak_kb < ENTRY_VM_MEMORY_KB, "{peak_kb} KB");
+}
+
 /// Callers, endpoints or operators send requests without end: all others must be served meanwhile,
 /// documents put, and the connections closed.
 #[rstest]
--- a/tests/platform/relays.rs
+++ b/tests/platform/relays.rs
@@ -12,6 +12,7 @@
 use dotterelhoist_fleet::message::{Body, Frame, Status, Target, View};
 use dotterelhoist_fleet::patch::{Original, Patch};
 use dotterelhoist_wire::Connection;
+use rstest::rstest;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
@@ -247,6 +248,66 @@
     assert_eq!(deployment.run_count("late-1"), 0);
 }
 
+/// Refusals in a row after which no request is relayed any more.
+const LAST_REFUSALS: usize = 4;
+
+/// Sends requests one after the other until they are refused, and checks what became of each.
+fn send_until_refused(deployment: &Deployment, ip: &str, label: &str, stream: bool) -> usize {
+    let mut served = 0;
+    let mut refused_in_a_row = 0;
+    for number in 0.. {
+        let id = format!("{label}{number}-{}", if stream { 0 } else { 1 });
+        let reply = match stream {
+            true => deployment.stream_through(ip, &id, None),
+            false => deployment.book_through(ip, &id),
+        };
+        let reply = reply.unwrap_or_else(|| panic!("{id} got no complete answer"));
+        match reply.status {
+            200 => {
+                assert!(!stream || event_ids(&reply.body) == [1, 2, 3, 4, 5], "{id}: {reply:?}");
+                served += 1;
+                refused_in_a_row = 0;
+            }
+            429 | 503 => {
+                assert_eq!(deployment.run_count(&id), 0, "{id} was refused and has run");
+                refused_in_a_row += 1;
+            }
+            other => panic!("{id}: {other}"),
+        }
+        if refused_in_a_row == LAST_REFUSALS {
+            break;
+        }
+    }
+    served
+}
+
+/// Guards against LOST: requests that a stopping relay had taken late were cut at the end of its grace period.
+#[rstest]
+fn requests_over_a_relay_that_stops_are_answered_or_refused(#[values(true, false)] reload: bool) {
+    let mut deployment = Deployment::start();
+    let cut_off = CutOff::start(&deployment);
+    std::thread::scope(|scope| {
+        let callers =
+            [("a", false), ("b", false), ("c", true), ("d", true)].map(|(label, stream)| {
+                let (deployment, ip) = (&deployment, cut_off.ip.as_str());
+                scope.spawn(move || send_until_refused(deployment, ip, label, stream))
+            });
+        let begun = deployment.poll(RECOVERY_TIMEOUT, |deployment| {
+            ["a9-1", "b9-1", "c3-0"].iter().all(|id| deployment.run_count(id) > 0).then_some(())
+        });
+        assert!(begun.is_some(), "no requests are relayed");
+        if reload {
+            deployment.signal_entry(rustix::process::Signal::HUP);
+        }
+        deployment.terminate_entry();
+        for caller in callers {
+            assert!(caller.join().expect("all requests are answered or refused") > 0);
+        }
+    });
+    assert!(deployment.wait_entry_exit(), "the entry daemon did not exit with code 0 in time");
+    deployment.check_run_counts();
+}
+
 /// Guards against REFUSED over one hop: bytes like a refusal ahead of the response of a relay, or of the endpoint behind it.
 #[test]
 fn refusal_that_belongs_to_no_request_is_not_taken_for_the_answer_of_a_relay() {
