--- a/crates/fleet/tests/control/late.rs
+++ b/crates/fleet/tests/control/late.rs
@@ -75,6 +75,15 @@
     cluster
 }
 
+/// Makes the heartbeats of one endpoint late by this time.
+fn delay_heartbeats(cluster: &mut Cluster, id: &Name, late_ms: u64) {
+    let (late, delay) = (id.clone(), Duration::from_millis(late_ms));
+    cluster.heartbeat_delay = Box::new(move |heartbeat, _| match *heartbeat.id == *late {
+        true => delay,
+        false => Duration::ZERO,
+    });
+}
+
 /// Guards against TWO: orders carried out late reopened a group that the log no longer had, and its
 /// members were ordered to join another one while it was open.
 #[rstest]
@@ -95,12 +104,7 @@
     let mut cluster = cluster_with_late_orders(LateKinds { kinds, times, to, after: LATE });
     let head = cluster.heads()[0].clone();
     let leaving = cluster.members(&head)[2].clone();
-    let delay = Duration::from_millis(heartbeats_late_ms);
-    let late = head.clone();
-    cluster.heartbeat_delay = Box::new(move |heartbeat, _| match *heartbeat.id == *late {
-        true => delay,
-        false => Duration::ZERO,
-    });
+    delay_heartbeats(&mut cluster, &head, heartbeats_late_ms);
     cluster.deregister(&leaving);
     cluster.run(SECOND * 2);
     if leader_changes {
@@ -155,12 +159,7 @@
         }
         assert!(cluster.run_until(SECOND * 4, |cluster| cluster.leader().is_some()), "no leader");
     }
-    let delay = Duration::from_millis(heartbeats_late_ms);
-    let late = head.clone();
-    cluster.heartbeat_delay = Box::new(move |heartbeat, _| match *heartbeat.id == *late {
-        true => delay,
-        false => Duration::ZERO,
-    });
+    delay_heartbeats(&mut cluster, &head, heartbeats_late_ms);
     cluster.deregister(&leaving);
     cluster.run_until(after, |cluster| cluster.engines[&head].membership.is_none());
     cluster.run_until(after, |cluster| cluster.open_groups() > 0);
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -79,3 +79,16 @@
         self.kill();
     }
 }
+
+/// Highest resident memory of a process so far, in kilobytes; none if it does not run.
+///
+/// ```
+/// use dotterelhoist_testkit::process::peak_memory_kb;
+///
+/// assert!(peak_memory_kb(std::process::id()).is_some_and(|peak| peak > 0));
+/// ```
+pub fn peak_memory_kb(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.trim().trim_end_matches("kB").trim().parse().ok()
+}
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -5,6 +5,7 @@
 use dotterelhoist_testkit::client::{call, send_raw, Call};
 use dotterelhoist_testkit::deployment::counter;
 use dotterelhoist_testkit::plain::{Behavior, RawBytes};
+use dotterelhoist_testkit::process::peak_memory_kb;
 use dotterelhoist_testkit::scenario::{Scenario, Size, MODEL_SERVICE, PLAIN_SERVICE, TOKEN};
 use http_types::Method;
 use rstest::rstest;
@@ -382,13 +383,6 @@
 /// Memory of the VM of a daemon, which the users' letter on sizes states.
 const VM_MEMORY_KB: u64 = 256 << 10;
 
-/// Highest resident memory of a process so far.
-fn peak_memory_kb(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    line.trim().trim_end_matches("kB").trim().parse().expect("a number of kilobytes")
-}
-
 /// Guards against LOST: answers without end filled the memory of the daemon, and all its requests ended with it.
 #[test]
 fn answers_without_end_do_not_fill_the_memory() {
@@ -410,7 +404,8 @@
         while call(address, &look_up(1)).await.expect("the daemon answers").status != 200 {
             Timer::after(Duration::from_millis(50)).await;
         }
-        let peak_kb = peak_memory_kb(scenario.deployment.process("zone-a-0").id());
+        let peak_kb =
+            peak_memory_kb(scenario.deployment.process("zone-a-0").id()).expect("the daemon runs");
         assert!(peak_kb < VM_MEMORY_KB, "{peak_kb} KB");
     });
 }
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use dotterelhoist_gateway::http::{within, Connection};
+use dotterelhoist_testkit::process::peak_memory_kb;
 use serde_json::json;
 use smol::net::TcpStream;
 use tempfile::TempDir;
@@ -528,10 +529,7 @@
     /// Highest resident memory of the entry daemon so far.
     pub fn entry_peak_memory_kb(&self) -> u64 {
         let entry = self.entry.as_ref().expect("the entry daemon was started");
-        let status = std::fs::read_to_string(format!("/proc/{}/status", entry.id()));
-        let status = status.expect("the entry daemon runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-        line.trim().trim_end_matches("kB").trim().parse().expect("a number of kilobytes")
+        peak_memory_kb(entry.id()).expect("the entry daemon runs")
     }
 
     /// Sends SIGTERM to the entry daemon.
