--- a/crates/fleet/src/control/planner/settling.rs
+++ b/crates/fleet/src/control/planner/settling.rs
@@ -3,8 +3,8 @@
 //! An order that was not answered may be carried out seconds later, when another daemon leads. The leader
 //! therefore records in the log that all orders to join and to open a group were answered, once they
 //! were, and takes that back before it sends another one. A group without that record may come back after
-//! its removal, unless its head is sealed. What the record would miss if it said the opposite, an order that
-//! went unanswered, is lost with a leader that ends before it has written it.
+//! its removal, unless its head is sealed. The log records that orders were answered, not that one was
+//! unanswered, because a leader may end before it could write the latter.
 
 use dotterelhoist_core::clock::Instant;
 
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -166,9 +166,9 @@
         }
     }
 
-    /// Reads the head of the response to a request with this method; skips interim (100 and 102 to 199) responses of
-    /// together at most `max_bytes`. A head that is still incomplete once more than `max_bytes` are
-    /// buffered is too long.
+    /// Reads the head of the response to a request with this method; skips interim responses (status
+    /// 100 and 102 to 199) of together at most `max_bytes`. A head that is still incomplete once more
+    /// than `max_bytes` are buffered is too long.
     ///
     /// # Errors
     ///
