--- a/review/lab3.py
+++ b/review/lab3.py
@@ -55,6 +55,7 @@
         self.daemons = {}
         self.controls = []
         self.engines = []
+        self.cuts = Cuts()
         self.born = int(time.time() * 1000)
 
     def ip(self, last):
@@ -252,7 +253,7 @@
 
     async def call_registry(self, verb):
         self.sequence += 1
-        body = {"service": self.service, "address": f"{self.ip}:{ENGINE}", "zone": self.zone,
+        body = {**self.state_of_models(), "service": self.service, "address": f"{self.ip}:{ENGINE}", "zone": self.zone,
                 "version": "v1", "slots": self.slots, "state": self.state, "cold_remaining_ms": 0,
                 "sequence": self.sequence, "born": self.born}
         for control in list(self.lab.controls):
@@ -262,13 +263,19 @@
                 return control
         return None
 
+    def state_of_models(self):
+        return {}
+
     def seal(self, headers):
         return f"{self.id}.{headers.get('dotterelhoist-request-id', '')}"
 
     async def serve(self, reader, writer):
+        opener = self.lab.cuts.opened_by(writer) if self.lab.cuts.watched else None
         try:
             while True:
                 line, headers = await read_head(reader)
+                while opener in self.lab.cuts.cut:
+                    await asyncio.sleep(0.2)
                 method, path, _ = line.split(" ", 2)
                 length = int(headers.get("content-length", 0))
                 body = await reader.readexactly(length)
@@ -283,7 +290,7 @@
         if path == "/report":
             text = json.dumps({"stage": "both", "models": [], "busy": False, "sequence": 0, "waiting": 0,
                                "running": 0, "kv_used": 0, "kv_total": 0, "handles": 0,
-                               "born": self.born})
+                               "born": self.born, **self.state_of_models()})
             echo = headers.get("dotterelhoist-request-id")
             echo = f"Dotterelhoist-Request-Id: {echo}\r\n" if echo else ""
             writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{echo}"
@@ -308,6 +315,86 @@
         writer.write(head.encode() + text)
 
 
+class ModelEngine(Engine):
+    """An engine of a service with models, which carries out orders at once."""
+
+    def __init__(self, lab, id, ip, service, domain, **more):
+        super().__init__(lab, id, ip, service, slots=26, **more)
+        self.domain, self.group, self.staged = domain, None, []
+        self.seen_epoch = self.seen_fence = self.orders = 0
+
+    def state_of_models(self):
+        group = self.group and {name: self.group[name] for name in ("name", "epoch", "rank", "state")}
+        return {"stage": "both", "models": [], "domain": self.domain, "staged": self.staged,
+                "group": group or None}
+
+    def order(self, order):
+        if order.get("fencing_token", self.seen_fence) < self.seen_fence:
+            return 412
+        self.seen_fence = order.get("fencing_token", self.seen_fence)
+        if order["op"] == "stage":
+            self.staged = [order["model"]]
+            return 200
+        key = (order["group"], order["epoch"])
+        if order["op"] == "join":
+            if order["epoch"] < self.seen_epoch:
+                return 412
+            if self.group and (self.group["name"], self.group["epoch"]) == key:
+                return 200 if self.group["members"] == order["members"] else 412
+            self.seen_epoch = order["epoch"]
+            self.staged = [order["model"]]
+            self.group = {"name": key[0], "epoch": key[1], "members": order["members"],
+                          "rank": order["members"].index(self.id), "state": "ready"}
+        elif not self.group or (self.group["name"], self.group["epoch"]) != key:
+            return 409
+        elif order["op"] == "open":
+            self.group["state"] = "open"
+        elif order["op"] == "close":
+            self.group["state"] = "ready"
+        elif order["op"] == "leave":
+            self.group = None
+        else:
+            return 400
+        self.orders += 1
+        return 200
+
+    async def answer(self, method, path, headers, body, reader, writer):
+        if path == "/order":
+            status = self.order(json.loads(body))
+            writer.write(f"HTTP/1.1 {status} Done\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+            asyncio.ensure_future(self.call_registry("Heartbeat"))
+            return False
+        if path != "/report" and not (self.group and self.group["rank"] == 0 and self.group["state"] == "open"):
+            writer.write(f"HTTP/1.1 421 Misdirected Request\r\nDotterelhoist-Instance-Id: {self.id}\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            return True
+        return await super().answer(method, path, headers, body, reader, writer)
+
+
+class Cuts:
+    """The network between daemons and engines: a connection that a daemon opened while it is cut off from
+    the engines carries nothing. Which daemon opened one is looked up among the sockets of its process."""
+
+    def __init__(self):
+        self.watched, self.cut = set(), set()
+
+    def opened_by(self, writer):
+        """The process of `watched` that opened a connection, or none."""
+        port = writer.get_extra_info("peername")[1]
+        with open("/proc/net/tcp") as table:
+            rows = [row.split() for row in table.readlines()[1:]]
+        wanted = {f"socket:[{row[9]}]" for row in rows if row[1].endswith(f":{port:04X}")}
+        for child in self.watched:
+            folder = f"/proc/{child.pid}/fd"
+            for name in os.listdir(folder):
+                try:
+                    if os.readlink(f"{folder}/{name}") in wanted:
+                        return child
+                except OSError:
+                    pass
+        return None
+
+
 def route(name, prefix, service, kind="non_idempotent", attempts=1, timeout_ms=4000, **more):
     return {"name": name, "host": "lab.example", "path_prefix": prefix, "route_type": kind,
             "timeout_ms": timeout_ms, "target_latency_ms": 500, "priority": 1, "service": service,
