--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,7 +8,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from lab3 import TROUBLE, Engine, ModelEngine, document, request, route, run
+from lab3 import ENGINE_OF_MODEL, TROUBLE, Engine, ModelEngine, document, request, route, run
 
 ROLLBACK_SLACK_S = 0.25
 ROUNDS = 6
@@ -17,10 +17,7 @@
 def config(version, booking_service):
     routes = [route("r", "/book/", booking_service), route("m", "/ask/", "llm", "streaming", timeout_ms=8000)]
     whole = document(version, routes, ["llm", "desk-old", "desk-new"], {"t": ["key"]})
-    whole["services"][0]["engine"] = {
-        "slots": 26, "models": [{"name": "model", "size": 1, "share": 1.0, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}],
-        "step_ms": 6.0, "per_seq_ms": 0.2, "read_per_s": 46000.0, "loads_per_s": 40.0, "loads_at_once": 6,
-        "usual": {"prompt": 1000, "answer": 100}}
+    whole["services"][0]["engine"] = ENGINE_OF_MODEL
     return whole
 
 
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -253,11 +253,14 @@
             await self.call_registry("Heartbeat")
             await asyncio.sleep(1.2)
 
+    def check_in(self):
+        return {**self.state_of_models(), "service": self.service, "address": f"{self.ip}:{ENGINE}",
+                "zone": self.zone, "version": "v1", "slots": self.slots, "state": self.state,
+                "cold_remaining_ms": 0, "sequence": self.sequence, "born": self.born}
+
     async def call_registry(self, verb):
         self.sequence += 1
-        body = {**self.state_of_models(), "service": self.service, "address": f"{self.ip}:{ENGINE}", "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": self.state, "cold_remaining_ms": 0,
-                "sequence": self.sequence, "born": self.born}
+        body = self.check_in()
         for control in list(self.registry or self.lab.controls):
             answer = await exchange(control, CONTROL, "POST", f"/Instances.{verb}/{self.id}",
                                     {"Content-Type": "application/json"}, json.dumps(body).encode(), 1.0)
@@ -405,6 +408,12 @@
             "attempts": attempts, "public": False, **more}
 
 
+ENGINE_OF_MODEL = {
+    "slots": 26, "models": [{"name": "model", "size": 1, "share": 1.0, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}],
+    "step_ms": 6.0, "per_seq_ms": 0.2, "read_per_s": 46000.0, "loads_per_s": 40.0, "loads_at_once": 6,
+    "usual": {"prompt": 1000, "answer": 100}}
+
+
 def document(version, routes, services, keys):
     return {"version": version, "routes": routes,
             "services": [{"name": name, "health_path": "/health", "max_connections": 300, "protocol": "h1",
