--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,135 +1,81 @@
-"""Case 13: requests that an entry daemon relays are handled by the older config of the relay."""
+"""Case 13: a deregistration is forgotten when all processes are killed; a late check-in lists the engine again."""
 
 import asyncio
+import json
 import os
-import signal
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from lab3 import ENGINE_OF_MODEL, TROUBLE, Engine, ModelEngine, document, request, route, run
+from lab3 import CONTROL, TROUBLE, Engine, document, exchange, request, route, run
 
-ROLLBACK_SLACK_S = 0.25
-ROUNDS = 6
-
-
-def config(version, booking_service):
-    routes = [route("r", "/book/", booking_service), route("m", "/ask/", "llm", "streaming", timeout_ms=8000)]
-    whole = document(version, routes, ["llm", "desk-old", "desk-new"], {"t": ["key"]})
-    whole["services"][0]["engine"] = ENGINE_OF_MODEL
-    return whole
-
-
-def newest_service(version):
-    """The service of /book/ by a version: they take turns."""
-    return "desk-old" if version % 2 else "desk-new"
-
-
-def services_by(version):
-    """By which version, this or the one before, each service runs a booking."""
-    return {newest_service(version): version, newest_service(version - 1): version - 1}
-
-
-class Observer:
-    """What requesters and engines of the booking services see of the machine that took the requests."""
-
-    def __init__(self, lab, entry):
-        self.lab, self.entry, self.number = lab, entry, 0
-        self.sent = {}
-        self.first_effect = {}
-        self.broken = 0
-
-    async def behave(self, engine, method, path, headers, body, reader, writer):
-        id = headers["dotterelhoist-request-id"]
-        now = time.monotonic()
-        sent_at, versions = self.sent[id]
-        by = versions[engine.service]
-        newest = max((v for v, at in self.first_effect.items() if sent_at - at > ROLLBACK_SLACK_S), default=0)
-        stale = by < newest
-        self.broken += stale
-        first = self.first_effect.setdefault(by, now)
-        self.lab.say(f"engine {engine.id} runs {id}, as version {by}; version {by} first seen {now - first:.3f} s ago"
-                     f"{'; STALE: version ' + str(newest) + ' was seen before' if stale else ''}")
-        await asyncio.sleep(0.1)
-        engine.reply(writer, headers, f"run by {engine.id}".encode())
-        return True
-
-    async def book(self, versions):
-        self.number += 1
-        id = f"book-{self.number}"
-        self.sent[id] = (time.monotonic(), versions)
-        answer = await request(self.entry, id, "/book/x", "key", deadline_ms=4000)
-        self.lab.say(f"requester: {id} at {self.entry}: {answer}")
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+DOWN_S = 0.5
+LATE_S = 3.5
+LINGER_S = 12.0
 
 
 async def case(lab):
     controls = [lab.ip(1), lab.ip(2), lab.ip(3)]
-    entry, relays = lab.ip(21), [lab.ip(22), lab.ip(23)]
+    entries = [lab.ip(21), lab.ip(22)]
     for ip in controls:
         lab.start_daemon(ip, True, controls, True)
-    for ip in [entry] + relays:
+    for ip in entries:
         lab.start_daemon(ip, False, controls, True)
-    observer = Observer(lab, entry)
-    lab.cuts.watched.add(lab.daemons[entry])
-    for index in range(3):
-        await ModelEngine(lab, f"i-m{index}", lab.ip(31 + index), "llm", "domain").start()
-    for index, service in enumerate(["desk-old", "desk-new"]):
-        await Engine(lab, f"i-{service}", lab.ip(41 + index), service, behave=observer.behave).start()
-    await lab.put(config(7, "desk-old"))
-    for ip in [entry] + relays:
+    engines = [Engine(lab, f"i-{number}", lab.ip(41 + number), "desk") for number in range(3)]
+    for engine in engines:
+        await engine.start()
+    await lab.put(document(7, [route("r", "/book/", "desk")], ["desk"], {"t": ["key"]}))
+    for ip in entries:
         await lab.until(f"entry daemon {ip} is ready", lambda: lab.is_ready(ip))
+    await asyncio.sleep(4.0)
     number = 0
 
-    async def ask():
-        nonlocal number
-        number += 1
-        more = {"Dotterelhoist-Model": "model", "Dotterelhoist-Token-Counts": "100,10",
-                "Dotterelhoist-Prompt-Prefix": f"a:50,{number:x}:50"}
-        return await request(entry, f"ask-{number}", "/ask/x", "key", deadline_ms=6000, **more)
-
-    async def asks():
-        return (await ask()).status == 200
-    await lab.until("groups serve", asks)
-    await asyncio.sleep(3.0)
-
     async def traffic():
+        nonlocal number
         while True:
-            asyncio.ensure_future(ask())
-            await asyncio.sleep(0.2)
+            for ip in entries:
+                number += 1
+                asyncio.ensure_future(request(ip, f"book-{number}", "/book/x", "key"))
+            await asyncio.sleep(0.05)
 
     background = asyncio.ensure_future(traffic())
+    await asyncio.sleep(1.0)
+    leaving = engines[0]
+    leaving.beating.cancel()
+    # The last check-in is sent before, and arrives late.
+    leaving.sequence += 1
+    check_in, sent = json.dumps(leaving.check_in()).encode(), time.monotonic()
+    await asyncio.sleep(0.2)
+    control = await leaving.call_registry("Deregister")
+    acked = time.monotonic()
+    lab.say(f"{leaving.id} deregisters; acknowledged by {control}")
+    await asyncio.sleep(0.5)
     if TROUBLE:
-        lab.say(f"network: {entry} is cut off from the engines")
-        lab.cuts.cut.add(lab.daemons[entry])
-    await asyncio.sleep(2.5)
-    version = 7
-    for round in range(ROUNDS):
-        frozen = relays[round % 2]
-        # Requesters come together now and then, so that daemons keep channels to each other open.
-        await asyncio.gather(*[observer.book(services_by(version)) for _ in range(24)])
-        if TROUBLE:
-            lab.say(f"platform: {frozen} is suspended")
-            lab.signal(frozen, signal.SIGSTOP)
-        began = time.monotonic()
-        version += 1
-        await lab.put(config(version, newest_service(version)))
-        bookings = []
-        while version not in observer.first_effect and time.monotonic() < began + 0.7:
-            bookings.append(asyncio.ensure_future(observer.book(services_by(version))))
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(ROLLBACK_SLACK_S + 0.1)
-        for _ in range(20):
-            bookings.append(asyncio.ensure_future(observer.book(services_by(version))))
-        await asyncio.sleep(max(0.0, began + 1.3 - time.monotonic()))
-        if TROUBLE:
-            lab.signal(frozen, signal.SIGCONT)
-            lab.say(f"platform: {frozen} goes on")
-        await asyncio.gather(*bookings)
-        await asyncio.sleep(1.0)
+        for ip in controls + entries:
+            lab.kill(ip)
+        lab.say("platform: all processes are killed")
+        for ip in controls + entries:
+            lab.write_settings(ip, ip in controls, controls, False)
+    await asyncio.sleep(DOWN_S)
+    back = time.monotonic()
+    if TROUBLE:
+        for ip in controls + entries:
+            lab.launch(ip)
+        lab.say("platform: all processes are started, with their disks")
+    await asyncio.sleep(sent + LATE_S - time.monotonic())
+    answer = await exchange(controls[0], CONTROL, "POST", f"/Instances.Heartbeat/{leaving.id}",
+                            {"Content-Type": "application/json"}, check_in, 1.0)
+    lab.say(f"{leaving.id}: a check-in from before the deregistration arrives {LATE_S} s late: {answer}")
+    await asyncio.sleep(acked + LINGER_S - time.monotonic())
     background.cancel()
-    lab.say(f"requests handled as only an older version allows: {observer.broken}")
-    return observer.broken > 0
+    # Twice contact_ms after the fault, all machines are in touch again.
+    in_touch = [at for at, *_ in leaving.runs if at > acked + DRAIN_S and at > back + 2 * CONTACT_S]
+    lab.say(f"{leaving.id} got {sum(at > acked + DRAIN_S for at, *_ in leaving.runs)} requests later than drain_ms after "
+            f"the ack, {len(in_touch)} of them from machines in touch, the last {max(in_touch, default=acked) - acked:.1f} s after it")
+    return bool(in_touch)
 
 
 run(case, HERE)
