--- a/review/lab3.py
+++ b/review/lab3.py
@@ -441,7 +441,8 @@
         broken = asyncio.run(main())
         code = 1 if broken else 0
         lab.say(f"result: {'the rule is broken' if broken else 'the rule held'}")
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except (Exception, SystemExit) as error:  # Whatever it is, it doesn't show that the rule was broken.
+        code = 2
         lab.say(f"could not run: {error!r}")
     finally:
         lab.close()
