--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -101,6 +101,8 @@
     /// The connection of this daemon to the named control daemon has come up, for the first time or
     /// again.
     Reached(Name),
+    /// The settings name these control daemons now.
+    SeedsChanged(Vec<Name>),
     /// A message of another daemon has arrived.
     Received {
         /// Name of the sender.
@@ -291,9 +293,8 @@
             outputs,
             setup,
         };
-        for seed in state.setup.seeds.clone() {
-            state.add_control_daemon(&seed, effects);
-        }
+        let seeds = state.setup.seeds.clone();
+        state.add_control_daemons(&seeds, effects);
         state.process_outputs(now, effects);
         state
     }
@@ -314,6 +315,7 @@
             }
             Event::Disconnected(daemon) => self.distributor.remove_subscriber(&daemon),
             Event::Reached(daemon) => self.send_departures(now, daemon, effects),
+            Event::SeedsChanged(seeds) => self.add_control_daemons(&seeds, effects),
             Event::Received { from, body, random } => {
                 self.receive(now, from, body, random, effects)
             }
@@ -424,6 +426,11 @@
                 }
             }
             Body::Departures(departures) => self.record_departures(now, departures),
+            Body::Directory(directory) => {
+                let names = directory.control_daemons.iter();
+                let names: Vec<Name> = names.map(|name| name.as_str().into()).collect();
+                self.add_control_daemons(&names, effects);
+            }
             Body::Report(report) => {
                 for limit in &report.limits {
                     self.limits.record(now, limit, &self.endpoints);
@@ -575,6 +582,13 @@
         }
     }
 
+    /// Adds control daemons that the settings or another daemon name.
+    fn add_control_daemons(&mut self, daemons: &[Name], effects: &mut Vec<Effect>) {
+        for daemon in daemons {
+            self.add_control_daemon(daemon, effects);
+        }
+    }
+
     /// Adds a control daemon, which may host a replica, and connects to it, unless it is this daemon
     /// or already known.
     fn add_control_daemon(&mut self, daemon: &Name, effects: &mut Vec<Effect>) {
--- a/crates/fleet/src/control/distribution.rs
+++ b/crates/fleet/src/control/distribution.rs
@@ -6,6 +6,7 @@
 //! their callers' demand, and of the progress, suspected failures and crashes of endpoints.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 use std::time::Duration;
 
 use dotterelhoist_core::clock::Instant;
@@ -37,6 +38,10 @@
 const STARTUP_MARGIN: Duration = Duration::from_millis(600);
 /// Entry daemons that are named to one that may have to relay requests.
 const RELAYS_MAX: usize = 8;
+/// Entry daemons that are named to another one, which may ask them for control daemons.
+const NEIGHBORS_MAX: usize = 3;
+/// Time between two statuses that name neighbors.
+const NEIGHBORS_INTERVAL: Duration = Duration::from_secs(4);
 /// Time after a report of progress in which a suspicion of the same endpoint says something about the
 /// daemon that reports it, not about the endpoint.
 const CONTRADICTION_TIME: Duration = Duration::from_millis(250);
@@ -56,6 +61,8 @@
     status_due: Instant,
     /// When the next loads are sent.
     loads_due: Instant,
+    /// When neighbors are named next; none before the first report, when others may not be connected yet.
+    neighbors_due: Option<Instant>,
 }
 
 /// Demand by service and model.
@@ -155,6 +162,7 @@
             subscriber.status_due = Instant::default();
         }
         subscriber.reported_at = now;
+        subscriber.neighbors_due.get_or_insert(now + STATUS_INTERVAL);
         subscriber.report = report;
     }
 
@@ -188,6 +196,17 @@
         rotated.take(RELAYS_MAX).map(ToString::to_string).collect()
     }
 
+    /// The connected entry daemons that follow the one called `receiver`, if it is time to name them.
+    fn neighbors_for(&mut self, now: Instant, receiver: &Name) -> Vec<String> {
+        let due = self.subscribers.get_mut(receiver).and_then(|it| it.neighbors_due.as_mut());
+        let Some(due) = due.filter(|due| now >= **due) else { return Vec::new() };
+        *due = now + NEIGHBORS_INTERVAL;
+        let after = (Bound::Excluded(receiver), Bound::Unbounded);
+        let following = self.subscribers.range::<Name, _>(after).map(|(name, _)| name);
+        let wrapped = following.chain(self.subscribers.keys().take_while(|name| *name < receiver));
+        wrapped.take(NEIGHBORS_MAX).map(ToString::to_string).collect()
+    }
+
     /// Makes the next status of all entry daemons due at once.
     pub(super) fn expedite_statuses(&mut self) {
         for subscriber in self.subscribers.values_mut() {
@@ -297,7 +316,8 @@
                 true => self.distributor.relays_for(now, name),
                 false => Vec::new(),
             };
-            let status = Status { relays, ..status.clone() };
+            let neighbors = self.distributor.neighbors_for(now, name);
+            let status = Status { relays, neighbors, ..status.clone() };
             effects.push(Effect::Send(name.clone(), Body::Status(status)));
         }
         let Some(subscriber) = self.distributor.subscribers.get_mut(name) else { return };
@@ -331,6 +351,7 @@
             bars,
             takes_losses: true,
             relays: Vec::new(),
+            neighbors: Vec::new(),
             leads: self.replica.leads(now),
             document_age_ms: now.since(self.distributor.documents.applied_at).as_millis() as u32,
         }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -32,6 +32,7 @@
 mod fetching;
 mod hedging;
 mod limits;
+mod neighbors;
 mod relaying;
 mod reporting;
 mod serving;
@@ -42,6 +43,7 @@
 
 use self::budget::Budget;
 use self::fetching::Transfer;
+use self::neighbors::Neighbors;
 use self::pauses::Statement;
 use self::queue::{Queue, Requirement};
 use self::serving::Active;
@@ -123,6 +125,9 @@
     Send(Name, Body),
     /// Connect to this control daemon, and reconnect when the connection is lost.
     Dial(Name),
+    /// Ask this entry daemon, or the control daemon at its address, which control daemons it reaches; pass the
+    /// answer back as a [`Body::Directory`].
+    Ask(Name),
     /// Pass a decision to the task that serves the request with this id.
     Decide(u64, Decision),
     /// Close the idle connections to endpoints.
@@ -153,6 +158,11 @@
         now.since(self.last_message) < SOURCE_TIMEOUT
     }
 
+    /// Whether it has stated that it has all that a live leader has committed.
+    fn is_up_to_date(&self) -> bool {
+        self.status.as_ref().is_some_and(|status| status.up_to_date)
+    }
+
     /// The bars that it did not state in its newest status; none if it takes no bars.
     fn lacks(&self, bars: &Bars, now: Instant) -> Vec<Bar> {
         let status = self.status.as_ref().filter(|status| status.takes_losses);
@@ -181,6 +191,7 @@
     sources: BTreeMap<Name, Source>,
     /// Control daemon whose view and loads are used.
     selected: Option<Name>,
+    neighbors: Neighbors,
     targets: Targets,
     /// Requests without a final response, by id.
     requests: BTreeMap<u64, Active>,
@@ -241,6 +252,7 @@
             confirmed: false,
             sources: BTreeMap::new(),
             selected: None,
+            neighbors: Neighbors::default(),
             targets,
             requests: BTreeMap::new(),
             queue: Queue::default(),
@@ -273,6 +285,7 @@
             Event::Connected(from) => {
                 let source = Source { status: None, last_message: now, applied_at: now };
                 self.send_departures(now, &from, effects);
+                self.introduce(now, &from, effects);
                 self.sources.insert(from, source);
                 self.limits_changed |= !self.targets.limits.is_empty();
                 self.targets.limits.report_all();
@@ -372,6 +385,7 @@
             Body::Departures(departures) => {
                 self.record_departures(now, &from, &departures, effects)
             }
+            Body::Directory(directory) => self.apply_directory(&from, &directory, effects),
             _ => {}
         }
     }
@@ -388,6 +402,7 @@
         for daemon in &status.control_daemons {
             effects.push(Effect::Dial(daemon.as_str().into()));
         }
+        self.record_neighbors(&from, &status, effects);
         self.apply_bars(now, &status, effects);
         let entry_daemons = f64::from(status.entry_daemons.max(1));
         self.budget.set_burst(self.setup.retry_slack * RETRY_SLACK_FACTOR / entry_daemons);
@@ -445,6 +460,7 @@
             effects.push(Effect::Log(event));
         }
         self.select_source(now, effects);
+        self.ask_neighbors(now, effects);
         self.fetch_document(now, effects);
         if now.since(self.last_tick) > PAUSE_MIN {
             self.targets.restart_stall_timers(now);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -113,6 +113,19 @@
     /// report had [`Report::needs_relay`].
     #[prost(string, repeated, tag = "11")]
     pub relays: Vec<String>,
+    /// IP addresses of entry daemons that the receiver may ask for control daemons once it reaches none;
+    /// empty in most statuses, which then say nothing about them.
+    #[prost(string, repeated, tag = "12")]
+    pub neighbors: Vec<String>,
+}
+
+/// Control daemons that the sender reaches. An entry daemon answers with it to the [`Hello`] of another one,
+/// and tells it each control daemon to which its connection comes up.
+#[derive(Clone, PartialEq, Message)]
+pub struct Directory {
+    /// Their IP addresses; the receiver connects to each of them.
+    #[prost(string, repeated, tag = "1")]
+    pub control_daemons: Vec<String>,
 }
 
 /// A feature whose requests are refused; see [`crate::crash::Feature`].
@@ -441,6 +454,9 @@
     /// Endpoints that leave; ignored by daemons of older builds.
     #[prost(message, tag = "17")]
     Departures(Departures),
+    /// Control daemons that the sender reaches; ignored by daemons of older builds.
+    #[prost(message, tag = "18")]
+    Directory(Directory),
     /// Keep-alive probe; answered by a pong.
     #[prost(bool, tag = "9")]
     Ping(bool),
@@ -453,6 +469,6 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub body: Option<Body>,
 }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -57,6 +57,8 @@
     pub misreports: BTreeMap<Name, Membership>,
     /// Numbers of the events that control daemons have logged.
     codes: Vec<u16>,
+    /// Connections that control daemons have asked for: who, and to whom.
+    pub dialed: Vec<(Name, Name)>,
     /// Whether the entry daemon of the first zone reports requests of callers.
     pub traffic: bool,
     /// Whether zone `y`, that of the second fabric domain, is partitioned from the control daemons.
@@ -125,6 +127,7 @@
             delay_orders: false,
             misreports: BTreeMap::new(),
             codes: Vec::new(),
+            dialed: Vec::new(),
             order_delay: Box::new(|_, _| None),
             heartbeat_delay: Box::new(|_, _| Duration::ZERO),
             traffic: false,
@@ -521,7 +524,7 @@
                     self.answers.insert(ticket, answer);
                 }
                 Effect::Log(event) => self.codes.push(event.code),
-                Effect::Dial(_) => {}
+                Effect::Dial(peer) => self.dialed.push((name.clone(), peer)),
             }
         }
     }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use dotterelhoist_fleet::control::Answer;
+use dotterelhoist_fleet::control::{Answer, Event};
+use dotterelhoist_fleet::message::{Body, Directory};
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
 
@@ -79,6 +80,28 @@
     assert_eq!(cluster.answers.get(&put), Some(&Answer::Unavailable));
 }
 
+/// Guards against CONFIG: a daemon whose control daemons were all replaced had no way to the present ones.
+#[rstest]
+#[case::by_the_settings(None)]
+#[case::by_an_entry_daemon(Some("entry"))]
+#[case::by_a_control_daemon(Some("127.0.0.9"))]
+fn control_daemons_that_others_name_are_connected_to(#[case] named_by: Option<&str>) {
+    let mut cluster = serving_cluster(1);
+    let own = daemon_names()[0].clone();
+    let names: [Name; 3] = [own.clone(), "127.0.0.8".into(), daemon_names()[1].clone()];
+    cluster.dialed.clear();
+    let event = match named_by {
+        None => Event::SeedsChanged(names.to_vec()),
+        Some(from) => {
+            let control_daemons = names.iter().map(ToString::to_string).collect();
+            let body = Body::Directory(Directory { control_daemons });
+            Event::Received { from: from.into(), body, random: 1 }
+        }
+    };
+    cluster.apply(&own, event);
+    assert_eq!(cluster.dialed, [(own, "127.0.0.8".into())]);
+}
+
 #[rstest]
 #[case::older("3")]
 #[case::same("7")]
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -13,7 +13,7 @@
 use dotterelhoist_fleet::entry::{
     Attempt, Decision, Effect, End, Event, Loss, Reason, Refusal, Request, Setup, State,
 };
-use dotterelhoist_fleet::message::{Body, Fetch, Report, Status, Target, View};
+use dotterelhoist_fleet::message::{Body, Directory, Fetch, Report, Status, Target, View};
 use dotterelhoist_fleet::patch::{Original, Patch};
 use dotterelhoist_fleet::Name;
 use rstest::rstest;
@@ -23,6 +23,7 @@
 mod fetching;
 mod interleaving;
 mod limits;
+mod neighbors;
 mod pauses;
 mod placing;
 mod relaying;
@@ -123,6 +124,12 @@
     fetches: Vec<(Name, Fetch)>,
     /// Departures that were sent to control daemons.
     departures_sent: Vec<(Name, Body)>,
+    /// Control daemons that were named to control daemons.
+    directories_sent: Vec<(Name, Directory)>,
+    /// Entry daemons that were asked for control daemons.
+    asked: Vec<Name>,
+    /// Control daemons to connect to.
+    dialed: Vec<Name>,
 }
 
 impl Harness {
@@ -154,6 +161,9 @@
             unselected_reports,
             fetches,
             departures_sent: Vec::new(),
+            directories_sent: Vec::new(),
+            asked: Vec::new(),
+            dialed: Vec::new(),
         }
     }
 
@@ -186,6 +196,11 @@
                 Effect::Send(to, body @ Body::Departures(_)) => {
                     self.departures_sent.push((to, body));
                 }
+                Effect::Send(to, Body::Directory(directory)) => {
+                    self.directories_sent.push((to, directory));
+                }
+                Effect::Ask(name) => self.asked.push(name),
+                Effect::Dial(name) => self.dialed.push(name),
                 Effect::Send(to, Body::Report(report)) => {
                     self.reported_crashes.extend(&report.crashed);
                     if *to == *UNSELECTED_CONTROL {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -64,6 +64,8 @@
     pub control_address: SocketAddr,
     /// Address at which connections of other daemons are accepted.
     pub link_address: SocketAddr,
+    /// The control daemons to connect to, whenever the settings name others.
+    pub seed_changes: Receiver<Vec<Name>>,
     /// Folder for stored data; the control log is in its subfolder `control`.
     pub data_folder: PathBuf,
     /// Whether the deployment is started for the first time. If so, a daemon without a log becomes
@@ -182,6 +184,7 @@
     executor.spawn(links.listen(link_listener)).detach();
     executor.spawn(forward_synced(shell.clone(), synced)).detach();
     executor.spawn(tick(shell.clone())).detach();
+    executor.spawn(forward_seeds(shell.clone(), config.seed_changes)).detach();
     let control_shell = shell.clone();
     let serve = move |stream| {
         let shell = control_shell.clone();
@@ -207,6 +210,16 @@
     }
 }
 
+/// Passes the control daemons that the settings name to the reducer whenever they have changed.
+async fn forward_seeds<Platform>(shell: Rc<Shell<Platform>>, seed_changes: Receiver<Vec<Name>>)
+where
+    Platform: Protocol,
+{
+    while let Ok(seeds) = seed_changes.recv().await {
+        shell.apply(Event::SeedsChanged(seeds));
+    }
+}
+
 /// Passes a tick to the reducer at regular intervals.
 async fn tick<Platform>(shell: Rc<Shell<Platform>>)
 where
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -71,6 +71,8 @@
     pub link_port: u16,
     /// IP addresses of the control daemons to connect to at the start.
     pub seeds: Vec<Name>,
+    /// The control daemons to connect to, whenever the settings name others.
+    pub seed_changes: Receiver<Vec<Name>>,
     /// Grace period: time from the request to stop until the process must have ended.
     pub grace_period: Duration,
     /// Address at which metrics are served, if any.
@@ -164,6 +166,9 @@
     for seed in &config.seeds {
         links.dial(seed);
     }
+    executor.spawn(dial_changed(links.clone(), config.seed_changes)).detach();
+    let link_address = SocketAddr::new(config.relay_address.ip(), config.link_port);
+    answer_neighbors(&shell, links, link_address, &executor).await;
     executor.spawn(tick(shell.clone())).detach();
     let caller_shell = shell.clone();
     let serve_from = move |stream, peer| {
@@ -199,6 +204,43 @@
     Ok(())
 }
 
+/// Connects to the control daemons that the settings name whenever they have changed.
+async fn dial_changed(links: Links, seed_changes: Receiver<Vec<Name>>) {
+    while let Ok(seeds) = seed_changes.recv().await {
+        for seed in &seeds {
+            links.dial(seed);
+        }
+    }
+}
+
+/// Tells other entry daemons that ask which control daemons this one reaches. If the address can't be listened
+/// on, only they are worse off: that is logged.
+async fn answer_neighbors<Platform>(
+    shell: &Rc<Shell<Platform>>,
+    links: Links,
+    address: SocketAddr,
+    executor: &Rc<smol::LocalExecutor<'static>>,
+) where
+    Platform: Protocol,
+{
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let shell = shell.clone();
+            let directory = move || shell.state.borrow().directory(clock::now());
+            executor.spawn(links.answer(listener, directory)).detach();
+        }
+        Err(error) => {
+            let detail = format!("address={address} error={error}");
+            journal::write(&log_events::Event::new(
+                111,
+                "neighbors not answered",
+                "process",
+                detail,
+            ));
+        }
+    }
+}
+
 /// Passes a tick to the reducer at regular intervals, and closes expired idle connections to
 /// endpoints with every 40th tick, about once per second.
 async fn tick<Platform>(shell: Rc<Shell<Platform>>)
@@ -248,6 +290,11 @@
                     links.dial(&peer);
                 }
             }
+            Effect::Ask(peer) => {
+                if let Some(links) = &*self.links.borrow() {
+                    links.ask(&peer);
+                }
+            }
             Effect::Decide(id, decision) => {
                 if let Decision::Refuse(refusal) = &decision {
                     self.meter.count(&format!("refused.{}", refusal.reason));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod protocol;
+pub mod settings;
 pub mod signals;
 
 mod exchange;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use dotterelhoist_fleet::journal as log_events;
-use dotterelhoist_fleet::message::{Body, Frame, Hello};
+use dotterelhoist_fleet::message::{Body, Directory, Frame, Hello};
 use dotterelhoist_fleet::Name;
 use futures_lite::FutureExt;
 use prost::Message;
@@ -33,6 +33,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for the first frame on an accepted connection; after that the connection is closed.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the answer of a daemon that is asked for control daemons, from the start of the connection.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay between the end of a connection, or of an attempt to connect, and the next attempt.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 /// Time between two pings, which the side that opened a connection sends.
@@ -131,6 +133,62 @@
         self.executor.spawn(async move { links.maintain(peer).await }).detach();
     }
 
+    /// Asks the daemon at this address once which control daemons it reaches. An answer is passed on as a
+    /// message of this daemon; a control daemon answers with its first status. Does nothing if a connection
+    /// to it is maintained anyway.
+    pub fn ask(&self, peer: &Name) {
+        if self.dialed.borrow().contains_key(peer) {
+            return;
+        }
+        let (links, peer) = (self.clone(), peer.clone());
+        let question = async move {
+            if let Some(Some(directory)) = within(ANSWER_TIMEOUT, links.question(&peer)).await {
+                (links.handler)(Event::Received(peer, Body::Directory(directory)));
+            }
+        };
+        self.executor.spawn(question).detach();
+    }
+
+    /// Connects to a daemon, and returns the control daemons that it names first.
+    async fn question(&self, peer: &Name) -> Option<Directory> {
+        let address = format!("{peer}:{}", self.port).parse::<SocketAddr>().ok()?;
+        let mut connection = Connection::open(TcpStream::connect(address).await.ok()?);
+        let hello = Frame { body: Some(Body::Hello(self.hello.clone())) };
+        connection.feed(&hello).await.ok()?;
+        connection.flush().await.ok()?;
+        loop {
+            match connection.receive().await.ok()??.body {
+                Some(Body::Directory(directory)) => return Some(directory),
+                Some(Body::Status(status)) => {
+                    return Some(Directory { control_daemons: status.control_daemons });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Answers the first frame on each connection of other daemons with what `directory` returns, and closes
+    /// it.
+    pub async fn answer<Source>(self, listener: TcpListener, directory: Source)
+    where
+        Source: Fn() -> Directory + Clone + 'static,
+    {
+        let executor = self.executor.clone();
+        let serve = move |stream| {
+            let directory = directory.clone();
+            async move {
+                let mut connection = Connection::accept(stream);
+                let first = within(HELLO_TIMEOUT, connection.receive()).await;
+                if matches!(first, Some(Ok(Some(Frame { body: Some(Body::Hello(_)) })))) {
+                    let answer = Frame { body: Some(Body::Directory(directory())) };
+                    connection.feed(&answer).await.ok();
+                    within(ANSWER_TIMEOUT, connection.flush()).await;
+                }
+            }
+        };
+        accept_all(listener, executor, serve).await;
+    }
+
     /// Accepts connections of other daemons.
     pub async fn listen(self, listener: TcpListener) {
         let executor = self.executor.clone();
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -2,26 +2,26 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use smol::channel::{bounded, Receiver};
 
-use dotterelhoist_fleet::journal::Event;
-
-use crate::journal;
-
-/// Installs signal handlers and returns a future that completes on `SIGTERM` or `SIGINT`. `SIGHUP`,
-/// the request to reload the settings, is only logged: the settings that a running daemon uses do
-/// not change while it runs.
+/// Installs signal handlers. Returns a future that completes on `SIGTERM` or `SIGINT`, and a channel that
+/// gets an item on `SIGHUP`, the request to read the settings again. The signals are handled while the future
+/// is polled.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system if the handlers can't be installed.
-pub fn stop_requested() -> std::io::Result<impl std::future::Future<Output = ()>> {
+pub fn open() -> std::io::Result<(impl std::future::Future<Output = ()>, Receiver<()>)> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    Ok(async move {
+    let (sender, reloads) = bounded(1);
+    let stop = async move {
         while let Some(Ok(signal)) = signals.next().await {
             if signal != Signal::Hup {
                 return;
             }
-            journal::write(&Event::new(108, "settings reload ignored", "process", "signal=hup"));
+            // A full channel means that the settings are about to be read anyway.
+            sender.try_send(()).ok();
         }
-    })
+    };
+    Ok((stop, reloads))
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -41,6 +41,8 @@
 mod odd;
 #[path = "platform/relays.rs"]
 mod relays;
+#[path = "platform/replaced.rs"]
+mod replaced;
 #[path = "platform/scripts.rs"]
 mod scripts;
 #[path = "platform/seeds.rs"]
--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -5,10 +5,12 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use rustix::process::{kill_process, Pid, Signal};
+
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
 pub const PORTS: Ports =
-    Ports { control: 20_001, links: 20_002, callers: 20_003, readiness: 20_004 };
+    Ports { control: 20_001, links: 20_002, callers: 20_003, readiness: 20_004, relays: 20_005 };
 /// Environment variable with the path of the program of [`Build::Other`].
 const OTHER_BUILD: &str = "DOTTERELHOIST_OTHER_BUILD";
 /// Addresses that [`unique_ips`] takes from one subnet.
@@ -38,12 +40,14 @@
 pub struct Ports {
     /// Of a control daemon, for endpoints and operators.
     pub control: u16,
-    /// Of a control daemon, for links from other daemons; of an entry daemon, for relayed requests.
+    /// For links from other daemons.
     pub links: u16,
     /// Of an entry daemon, for callers.
     pub callers: u16,
     /// Of an entry daemon, for readiness checks.
     pub readiness: u16,
+    /// Of an entry daemon, for relayed requests.
+    pub relays: u16,
 }
 
 /// What the settings file of a daemon says.
@@ -61,8 +65,22 @@
 /// Writes the settings file of a daemon to `folder`, which also holds its data and its log, and
 /// starts it.
 pub fn spawn(build: Build, folder: &Path, settings: &Settings<'_>) -> Child {
+    write_settings(folder, settings);
+    let ip = settings.ip;
+    let log = std::fs::File::options().create(true).append(true).open(log_path(folder, ip));
+    let log = log.expect("the temporary folder is writable");
+    Command::new(build.program())
+        .arg("platform")
+        .env("DOTTERELHOIST_NODE_FILE", settings_path(folder, ip))
+        .stdout(Stdio::from(log))
+        .spawn()
+        .expect("the daemon was built")
+}
+
+/// Writes the settings file of a daemon, which may be running, to `folder`.
+pub fn write_settings(folder: &Path, settings: &Settings<'_>) {
     let Settings { ip, control, bootstrap, .. } = settings;
-    let Ports { control: control_port, links, callers, readiness } = PORTS;
+    let Ports { control: control_port, links, callers, readiness, relays } = PORTS;
     let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
     let listen = match control {
         true => {
@@ -72,20 +90,17 @@
         false => format!("listen.front={ip}:{callers}\nlisten.ready={ip}:{readiness}\n"),
     };
     let text = format!(
-        "ip={ip}\nzone=z\ninternal_ports={links},{links}\nseeds={}\nbootstrap={bootstrap}\n\
+        "ip={ip}\nzone=z\ninternal_ports={links},{relays}\nseeds={}\nbootstrap={bootstrap}\n\
          heartbeat_interval_ms=200\nbounds.stall_ms=500\nfault_tolerance.machines=1\n{listen}",
         seeds.join(",")
     );
-    let path = folder.join(format!("{ip}.conf"));
-    std::fs::write(&path, text).expect("the temporary folder is writable");
-    let log = std::fs::File::options().create(true).append(true).open(log_path(folder, ip));
-    let log = log.expect("the temporary folder is writable");
-    Command::new(build.program())
-        .arg("platform")
-        .env("DOTTERELHOIST_NODE_FILE", path)
-        .stdout(Stdio::from(log))
-        .spawn()
-        .expect("the daemon was built")
+    std::fs::write(settings_path(folder, ip), text).expect("the temporary folder is writable");
+}
+
+/// Sends a signal to a daemon.
+pub fn signal(daemon: &Child, signal: Signal) {
+    let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
+    kill_process(pid.expect("a valid process id"), signal).expect("the daemon runs");
 }
 
 /// Kills a daemon, unless it was killed before.
@@ -118,6 +133,11 @@
     folder.join(ip)
 }
 
+/// Settings file of the daemon with this address.
+fn settings_path(folder: &Path, ip: &str) -> PathBuf {
+    folder.join(format!("{ip}.conf"))
+}
+
 /// File to which the daemon with this address writes its log.
 fn log_path(folder: &Path, ip: &str) -> PathBuf {
     folder.join(format!("{ip}.log"))
--- a/tests/platform/relays.rs
+++ b/tests/platform/relays.rs
@@ -88,7 +88,7 @@
 impl ScriptedRelay {
     fn start() -> ScriptedRelay {
         let [ip, _] = unique_ips();
-        let address: SocketAddr = format!("{ip}:{}", PORTS.links).parse().expect("valid");
+        let address: SocketAddr = format!("{ip}:{}", PORTS.relays).parse().expect("valid");
         let listener = smol::block_on(TcpListener::bind(address)).expect("the address is free");
         let (stop, stopped) = smol::channel::bounded::<()>(1);
         let scripts = Scripts::default();
--- a/tests/platform/seeds.rs
+++ b/tests/platform/seeds.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use tempfile::TempDir;
 
 use super::callers::send;
@@ -17,9 +17,9 @@
 use super::deployment::document;
 
 /// Control daemons of the first start.
-const FIRST: [usize; 3] = [0, 1, 2];
+pub const FIRST: [usize; 3] = [0, 1, 2];
 /// Control daemons that are added.
-const ADDED: [usize; 3] = [3, 4, 5];
+pub const ADDED: [usize; 3] = [3, 4, 5];
 pub const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
 /// Time within which a control plane must be in order after a start.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -46,6 +46,13 @@
 impl ControlPlane {
     /// Starts three control daemons of this build, and adds three.
     pub fn start(build: Build) -> ControlPlane {
+        let mut plane = ControlPlane::start_first(build);
+        plane.add(build);
+        plane
+    }
+
+    /// Starts three control daemons of this build.
+    pub fn start_first(build: Build) -> ControlPlane {
         let mut plane = ControlPlane {
             folder: tempfile::tempdir().expect("a temporary folder can be created"),
             ips: unique_ips(ALL.len() as u64),
@@ -57,16 +64,62 @@
             plane.start_daemon(build, index, &FIRST, true);
         }
         plane.check();
+        plane
+    }
+
+    /// Adds three control daemons of this build.
+    pub fn add(&mut self, build: Build) {
         for index in ADDED {
-            plane.start_daemon(build, index, &FIRST, false);
+            self.start_daemon(build, index, &FIRST, false);
+        }
+        self.check();
+    }
+
+    /// Removes the first control daemons one after the other, once the added ones have taken their place.
+    pub fn remove_first(&mut self) {
+        for index in FIRST {
+            self.check();
+            self.kill(&[index]);
+            self.check();
+            let replaced = self.poll(|plane| {
+                let is_of_it = |voters: String| voters.contains(&format!("{}#", plane.ips[index]));
+                plane.voters(ADDED[0]).is_some_and(|voters| !is_of_it(voters))
+            });
+            assert!(replaced, "daemon {index} is still a voter");
         }
-        plane.check();
-        plane
+    }
+
+    /// Waits until the first control daemons have ended their connections from an entry daemon, so that nothing
+    /// that they say later is waiting there.
+    pub fn await_disconnected(&self, entry: &str) {
+        let text = format!(r#""event":"link ended","subject":"{entry}""#);
+        let ended = self.poll(|plane| {
+            let has_ended = |index: &usize| {
+                daemon::read_log(plane.folder.path(), &plane.ips[*index]).contains(&text)
+            };
+            FIRST.iter().all(has_ended)
+        });
+        assert!(ended, "connections from {entry} stay open");
+    }
+
+    /// Folder with the settings and logs of all daemons.
+    pub fn folder(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+
+    /// Addresses of control daemons, as settings name them.
+    pub fn seeds(&self, indices: &[usize]) -> Vec<SocketAddr> {
+        indices.iter().map(|index| self.control_address(*index)).collect()
+    }
+
+    /// Version that was acknowledged last.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged
     }
 
     /// Starts a daemon whose settings name these seeds.
     pub fn start_daemon(&mut self, build: Build, index: usize, seeds: &[usize], bootstrap: bool) {
-        let seeds: Vec<SocketAddr> = seeds.iter().map(|seed| self.control_address(*seed)).collect();
+        let seeds = self.seeds(seeds);
         let settings = Settings { ip: &self.ips[index], control: true, seeds: &seeds, bootstrap };
         self.daemons[index] = Some(daemon::spawn(build, self.folder.path(), &settings));
     }
@@ -107,9 +160,7 @@
 
     fn signal(&self, indices: &[usize], signal: Signal) {
         for index in indices {
-            let daemon = self.daemons[*index].as_ref().expect("the daemon runs");
-            let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
-            kill_process(pid.expect("a valid process id"), signal).expect("the daemon runs");
+            daemon::signal(self.daemons[*index].as_ref().expect("the daemon runs"), signal);
         }
     }
 
@@ -190,7 +241,7 @@
     }
 
     /// Calls `check` until it returns true; returns false after [`SETTLE_TIMEOUT`].
-    fn poll<Check>(&self, mut check: Check) -> bool
+    pub fn poll<Check>(&self, mut check: Check) -> bool
     where
         Check: FnMut(&ControlPlane) -> bool,
     {
@@ -298,17 +349,7 @@
 fn seeds_changed_and_old_ones_removed_keep_the_log() {
     let mut plane = ControlPlane::start(Build::Present);
     plane.restart(Build::Present, &ALL, &ADDED);
-    for index in FIRST {
-        plane.check();
-        plane.kill(&[index]);
-        plane.check();
-        let replaced = plane.poll(|plane| {
-            plane
-                .voters(ADDED[0])
-                .is_some_and(|voters| !voters.contains(&format!("{}#", plane.ips[index])))
-        });
-        assert!(replaced, "daemon {index} is still a voter");
-    }
+    plane.remove_first();
     plane.restart(Build::Present, &ADDED, &ADDED);
     plane.check();
 }
