--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -18,7 +18,7 @@
 use crate::document::{Document, Finding};
 use crate::endpoint::Heartbeat;
 use crate::journal;
-use crate::message::{AgedHeartbeat, Body, Heartbeats, Hello, Replication};
+use crate::message::{AgedHeartbeat, Body, Departure, Heartbeats, Hello, Replication};
 use crate::order::{Order, Outcome};
 use crate::patch::Original;
 use crate::probe;
@@ -35,6 +35,7 @@
 
 mod applying;
 mod operators;
+mod storing;
 
 use self::distribution::Distributor;
 use self::endpoints::claims::Question;
@@ -43,6 +44,7 @@
 use self::planner::Planner;
 use self::reachability::Reachability;
 use self::state_machine::{Change, Command, StateMachine};
+use self::storing::Storage;
 
 /// Longest lapse of the leader's lease within one term after which the planner keeps its state;
 /// after a longer one, the state is reset when the lease is held again.
@@ -123,6 +125,16 @@
         /// Start of its incarnation in Unix milliseconds, if it has stated it.
         started_unix_ms: Option<u64>,
     },
+    /// An endpoint that leaves waits for the answer to the call with which it has said so, until its departure
+    /// is stored.
+    AwaitDeparture {
+        /// Identifies the call in [`Effect::Answer`].
+        ticket: u64,
+        /// Its identity.
+        id: Name,
+    },
+    /// All writes of departures up to this sequence number are on stable storage.
+    DeparturesStored(u64),
     /// An operator has sent a document.
     PutDocument {
         /// Identifies the call in [`Effect::Answer`] and to the leader. No other call of this daemon
@@ -154,18 +166,19 @@
     },
 }
 
-/// Answer to an operator.
+/// Answer to an operator, or to an endpoint that leaves.
 #[derive(Clone, Debug, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Answer {
-    /// The document that was put, or one with the same or a higher version, is in force.
+    /// The document that was put, or one with the same or a higher version, is in force; the departure is stored.
     Accepted,
     /// The document is not valid.
     Invalid(Vec<Finding>),
     /// The document in force.
     Document(Vec<u8>),
     /// No leader could answer in time, the leader could not commit the document, or there is no
-    /// document to get. A document that was put may still be committed later.
+    /// document to get. A document that was put may still be committed later. No daemon could store the departure
+    /// in time.
     Unavailable,
 }
 
@@ -178,6 +191,9 @@
     Dial(Name),
     /// Write to stable storage, then report the sequence number with [`Event::Persisted`].
     Persist(u64, Write),
+    /// Add departures to those on stable storage, then report the sequence number with
+    /// [`Event::DeparturesStored`].
+    StoreDepartures(u64, Vec<Departure>),
     /// Send an order to an endpoint, then report its result with [`Event::OrderFinished`].
     Order(Order),
     /// Ask an endpoint for its state, then report the answer with [`Event::ProbeFinished`].
@@ -187,7 +203,7 @@
         /// IP address and port.
         address: Name,
     },
-    /// Answer the operator's call with this ticket.
+    /// Answer the call of an operator, or of an endpoint that leaves, with this ticket.
     Answer(u64, Answer),
     /// Write a log line.
     Log(journal::Event),
@@ -210,6 +226,7 @@
     /// The newest document that an operator has sent to this daemon, with its decoded form.
     validated: Option<(Original, Arc<Document>)>,
     endpoints: endpoints::Table,
+    storage: Storage,
     planner: Planner,
     distributor: Distributor,
     /// Which endpoints ended with lost responses, and under which requests.
@@ -279,6 +296,7 @@
             activated: 0,
             validated: None,
             endpoints: endpoints::Table::default(),
+            storage: Storage::default(),
             control_daemons: BTreeSet::new(),
             known_voters: Vec::new(),
             reachability: Reachability::new(setup.zone.clone()),
@@ -326,6 +344,8 @@
             Event::Deregistered { id, started_unix_ms } => {
                 self.deregister(now, &id, started_unix_ms, effects);
             }
+            Event::AwaitDeparture { ticket, id } => self.await_departure(now, ticket, id),
+            Event::DeparturesStored(sequence) => self.mark_departures_stored(sequence),
             Event::PutDocument { ticket, body } => self.handle_put(now, ticket, body, effects),
             Event::GetDocument { ticket } => self.handle_call(now, ticket, None, effects),
             Event::OrderFinished { ticket, outcome } => {
@@ -338,6 +358,7 @@
         }
         self.ask(now, effects);
         self.announce_departures(now, effects);
+        self.answer_departures(now, effects);
         self.process_outputs(now, effects);
     }
 
@@ -365,6 +386,7 @@
         self.process_calls(now, effects);
         self.forward_heartbeats(now, effects);
         self.endpoints.remove_expired(now);
+        self.expire_stored_departures(now);
         self.limits.expire(now, &self.endpoints);
         self.attribute_crashes(now, effects);
         let leads = self.replica.can_serve_reads(now);
@@ -422,10 +444,14 @@
                 for AgedHeartbeat { heartbeat, age_ms } in batch.heartbeats {
                     let Some(heartbeat) = heartbeat else { continue };
                     let seen_at = now.before(Duration::from_millis(u64::from(age_ms)));
+                    if heartbeat.gone || heartbeat.draining {
+                        self.record_teller(from.clone(), heartbeat.id.as_str().into());
+                    }
                     self.record_in_table(heartbeat, seen_at);
                 }
             }
             Body::Departures(departures) => self.record_departures(now, departures),
+            Body::StoredDepartures(departures) => self.confirm_departures(&from, &departures),
             Body::Directory(directory) => {
                 let names = directory.control_daemons.iter();
                 let names: Vec<Name> = names.map(|name| name.as_str().into()).collect();
--- a/crates/fleet/src/control/departures.rs
+++ b/crates/fleet/src/control/departures.rs
@@ -5,7 +5,7 @@
 //! since. Each departure is sent to all connected daemons at once, and all departures of the last
 //! [`DEPARTURE_TTL`](crate::endpoint::DEPARTURE_TTL) to each daemon to which a connection comes up.
 //! Entry daemons send theirs to each control daemon in the same way, so that departures outlast the
-//! loss of all control daemons.
+//! loss of all control daemons. Control daemons store them as well ([`super::storing`]).
 
 use std::time::Duration;
 
@@ -45,8 +45,8 @@
         }
     }
 
-    /// Tells all connected entry daemons of the departures that this daemon has learned of since the
-    /// last call.
+    /// Stores the departures that this daemon has learned of since the last call, and tells all connected entry
+    /// daemons of them.
     pub(super) fn announce_departures(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let departures = self.endpoints.take_new_departures(now);
         if departures.is_empty() {
@@ -57,6 +57,7 @@
             let event = journal::Event::new(216, "endpoint leaves", &*departure.id, detail);
             effects.push(Effect::Log(event));
         }
+        self.store_departures(now, &departures, effects);
         let body = Body::Departures(Departures { departures });
         for subscriber in self.distributor.subscriber_names() {
             effects.push(Effect::Send(subscriber.clone(), body.clone()));
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -457,6 +457,10 @@
     /// Control daemons that the sender reaches; ignored by daemons of older builds.
     #[prost(message, tag = "18")]
     Directory(Directory),
+    /// Departures that the sender has on stable storage, of which the receiver has told it; ignored by daemons of
+    /// older builds.
+    #[prost(message, tag = "19")]
+    StoredDepartures(Departures),
     /// Keep-alive probe; answered by a pong.
     #[prost(bool, tag = "9")]
     Ping(bool),
@@ -469,6 +473,9 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+    )]
     pub body: Option<Body>,
 }
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -40,6 +40,10 @@
     pub now: Instant,
     pub daemons: BTreeMap<Name, State<VersionReader>>,
     pub disks: BTreeMap<Name, Stored>,
+    /// Departures on the disks, and when they happened.
+    pub departure_files: BTreeMap<Name, Vec<(Departure, Instant)>>,
+    /// Control daemons whose disks refuse departures.
+    pub refusing_disks: BTreeSet<Name>,
     /// Control daemons that were killed and not started again.
     pub down: BTreeSet<Name>,
     pub engines: BTreeMap<Name, Engine>,
@@ -120,6 +124,8 @@
             now: Instant::from_millis(3_600_000),
             daemons: BTreeMap::new(),
             disks: BTreeMap::new(),
+            departure_files: BTreeMap::new(),
+            refusing_disks: BTreeSet::new(),
             down: BTreeSet::new(),
             engines: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -180,6 +186,9 @@
         };
         let identity =
             Identity { replica: replica.into(), daemon: name.clone(), weight: 1, electable: true };
+        if !self.disks.contains_key(name) {
+            self.departure_files.remove(name);
+        }
         let is_initial_voter = replica == initial_voter(name).replica;
         let disk = self.disks.entry(name.clone()).or_insert_with(|| match is_initial_voter {
             true => first_disk(),
@@ -188,7 +197,13 @@
         let stored = disk.clone();
         let mut effects = Vec::new();
         let reader = VersionReader { shape: self.shape, reads: self.reads.clone() };
-        let state = State::open(setup, reader, identity, stored, self.now, &mut effects);
+        let mut state = State::open(setup, reader, identity, stored, self.now, &mut effects);
+        let file = self.departure_files.get(name).into_iter().flatten();
+        let aged = file.map(|(departure, at)| Departure {
+            age_ms: self.now.since(*at).as_millis() as u32,
+            ..departure.clone()
+        });
+        state.restore_departures(self.now, &aged.collect::<Vec<Departure>>());
         self.daemons.insert(name.clone(), state);
         self.down.remove(name);
         self.execute_effects(name, effects);
@@ -272,6 +287,13 @@
         self.apply(daemon, Event::Received { from: from.clone(), body, random: 1 });
     }
 
+    /// Waits at a daemon until the departure of an endpoint is stored; returns the ticket of the call.
+    pub fn await_departure(&mut self, daemon: &Name, id: &Name) -> u64 {
+        let ticket = self.next_ticket();
+        self.apply(daemon, Event::AwaitDeparture { ticket, id: id.clone() });
+        ticket
+    }
+
     fn next_ticket(&mut self) -> u64 {
         self.last_ticket += 1;
         self.last_ticket
@@ -495,6 +517,17 @@
                     self.disks.entry(name.clone()).or_default().apply(write);
                     self.inbox.push((name.clone(), Event::Persisted(sequence)));
                 }
+                Effect::StoreDepartures(sequence, departures) => {
+                    if self.refusing_disks.contains(name) {
+                        continue;
+                    }
+                    let file = self.departure_files.entry(name.clone()).or_default();
+                    file.extend(departures.into_iter().map(|departure| {
+                        let at = self.now.before(Duration::from_millis(departure.age_ms.into()));
+                        (departure, at)
+                    }));
+                    self.inbox.push((name.clone(), Event::DeparturesStored(sequence)));
+                }
                 Effect::Order(order) => {
                     if matches!(&order.task, Task::Join { members, .. } if members.len() == 1) {
                         self.joins_of_standby += 1;
--- a/crates/fleet/tests/control/departures.rs
+++ b/crates/fleet/tests/control/departures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dotterelhoist_fleet::control::Event;
+use dotterelhoist_fleet::control::{Answer, Event};
 use dotterelhoist_fleet::endpoint::Heartbeat;
 use dotterelhoist_fleet::message::{AgedHeartbeat, Body, Departure, Departures, Heartbeats};
 use dotterelhoist_fleet::Name;
@@ -281,6 +281,7 @@
     let told = cluster.departures_told.iter().filter(|(to, _)| **to == *"entry");
     let told: Vec<Departure> = told.map(|(_, departure)| departure.clone()).collect();
     assert_eq!(told.len(), 1, "{told:?}");
+    cluster.departure_files.clear();
     for daemon in &daemons {
         cluster.kill(daemon);
     }
@@ -331,3 +332,122 @@
     cluster.run(SECOND * 2);
     assert_eq!(listing(&cluster, &id), daemons);
 }
+
+/// Tells a daemon that the endpoint leaves, and waits for the answer for a time.
+fn leave_and_wait(
+    cluster: &mut Cluster,
+    at: &Name,
+    id: &Name,
+    how: Leave,
+    wait: Duration,
+) -> (Heartbeat, Option<Answer>) {
+    let late = leave(cluster, at, id, how);
+    let ticket = cluster.await_departure(at, id);
+    cluster.run_until(wait, |cluster| cluster.answers.contains_key(&ticket));
+    (late, cluster.answers.get(&ticket).cloned())
+}
+
+/// What happens besides to the daemons that are all killed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    Nothing,
+    DiskOfTheOneThatAnswered,
+    DiskOfAnotherOne,
+    KilledTwice,
+}
+
+/// Guards against DRAIN: a departure was lost with all processes, and a late heartbeat took it back.
+#[rstest]
+fn departure_outlasts_all_processes(
+    #[values(Leave::Deregisters, Leave::Drains)] how: Leave,
+    #[values(
+        Loss::Nothing,
+        Loss::DiskOfTheOneThatAnswered,
+        Loss::DiskOfAnotherOne,
+        Loss::KilledTwice
+    )]
+    loss: Loss,
+    #[values(0, 1, 2)] left_at: usize,
+    #[values(0, 1, 2)] late_at: usize,
+    #[values(0, 3000)] late_ms: u64,
+) {
+    let mut cluster = serving_cluster(1);
+    let daemons = daemon_names();
+    let id = cluster.heads()[0].clone();
+    let (late, answer) =
+        leave_and_wait(&mut cluster, &daemons[left_at], &id, how, Duration::from_millis(200));
+    assert_eq!(answer, Some(Answer::Accepted), "not stored by two in time");
+    for _ in 0..if loss == Loss::KilledTwice { 2 } else { 1 } {
+        let lost = match loss {
+            Loss::Nothing | Loss::KilledTwice => None,
+            Loss::DiskOfTheOneThatAnswered => Some(&daemons[left_at]),
+            Loss::DiskOfAnotherOne => Some(&daemons[(left_at + 1) % 3]),
+        };
+        for daemon in &daemons {
+            cluster.kill(daemon);
+        }
+        cluster.run(SECOND / 2);
+        for daemon in &daemons {
+            let mut number = 0;
+            if lost == Some(daemon) {
+                cluster.disks.remove(daemon);
+                number = 1;
+            }
+            cluster.start(daemon, &format!("{daemon}#{number}"));
+        }
+        cluster.run(SECOND / 2);
+    }
+    cluster.run(Duration::from_millis(late_ms));
+    heartbeat(&mut cluster, &daemons[late_at], &late);
+    cluster.run(SECOND / 4);
+    assert_eq!(listing(&cluster, &id), Vec::<Name>::new());
+    cluster.run(SECOND * 6);
+    assert_eq!(listing(&cluster, &id), Vec::<Name>::new());
+    cluster.kill_engines(std::slice::from_ref(&id));
+    cluster.restart_engine(&id);
+    cluster.run(SECOND * 2);
+    assert_eq!(listing(&cluster, &id), daemons, "the next incarnation is held");
+}
+
+/// Guards against DRAIN by an answer that nobody had stored, and against no answer on a disk that refuses writes.
+#[rstest]
+#[case::all_sound(&[], false, 0, Some(Answer::Accepted))]
+#[case::own_disk_full(&[0], false, 250, Some(Answer::Accepted))]
+#[case::another_disk_full(&[1], false, 0, Some(Answer::Accepted))]
+#[case::both_others_full(&[1, 2], false, 250, Some(Answer::Accepted))]
+#[case::cut_off(&[], true, 250, Some(Answer::Accepted))]
+#[case::cut_off_and_full(&[0], true, 700, Some(Answer::Unavailable))]
+#[case::all_full(&[0, 1, 2], false, 700, Some(Answer::Unavailable))]
+fn departure_is_answered_once_it_is_stored(
+    #[case] full: &[usize],
+    #[case] cut_off: bool,
+    #[case] not_before_ms: u64,
+    #[case] expected: Option<Answer>,
+    #[values(Leave::Deregisters, Leave::Drains)] how: Leave,
+) {
+    let mut cluster = serving_cluster(1);
+    let daemons = daemon_names();
+    let id = cluster.heads()[0].clone();
+    cluster.refusing_disks.extend(full.iter().map(|index| daemons[*index].clone()));
+    if cut_off {
+        cluster.cut_off.insert(daemons[0].clone());
+    }
+    let asked_at = cluster.now;
+    let (_, answer) = leave_and_wait(&mut cluster, &daemons[0], &id, how, SECOND);
+    let waited = cluster.now.since(asked_at).as_millis() as u64;
+    assert_eq!(answer, expected);
+    assert!((not_before_ms..=not_before_ms + 100).contains(&waited), "after {waited} ms");
+    assert!(!cluster.heads_in_view.contains(&id) || cut_off, "it is still sent requests");
+}
+
+/// A call on an endpoint that does not leave, as far as this daemon knows, isn't held up.
+#[rstest]
+#[case::unknown("i-unknown")]
+#[case::of_one_that_stays("")]
+fn departure_that_is_not_recorded_is_answered_at_once(#[case] id: &str) {
+    let mut cluster = serving_cluster(1);
+    let at = daemon_names()[0].clone();
+    let id = if id.is_empty() { cluster.heads()[0].clone() } else { id.into() };
+    let ticket = cluster.await_departure(&at, &id);
+    assert_eq!(cluster.answers.get(&ticket), Some(&Answer::Accepted));
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,6 +16,8 @@
 use dotterelhoist_fleet::journal as log_events;
 use dotterelhoist_fleet::message::Hello;
 use dotterelhoist_fleet::Name;
+use dotterelhoist_store::departures::Departure as StoredDeparture;
+use dotterelhoist_store::disk::Folder;
 use dotterelhoist_store::{identity, Files};
 use futures_lite::FutureExt;
 use smol::channel::{bounded, unbounded, Receiver, Sender};
@@ -28,7 +30,7 @@
 use crate::metrics::{serve as serve_metrics, Meter};
 use crate::protocol::{Call, Protocol};
 use crate::writer::Writer;
-use crate::{clock, journal, orders};
+use crate::{clock, departures, journal, orders};
 
 pub use dotterelhoist_fleet::control::Setup;
 
@@ -104,6 +106,8 @@
     links: RefCell<Option<Links>>,
     /// Writes the control log.
     writer: Writer,
+    /// Writes departures of endpoints.
+    departure_writer: departures::Writer,
     meter: Meter,
     /// Memory for the bodies of calls.
     call_memory: Budget,
@@ -145,6 +149,11 @@
         Identity { replica: replica.clone(), daemon: daemon.clone(), weight: 1, electable: true };
     let (synced_sender, synced) = unbounded();
     let writer = Writer::spawn(files.store, synced_sender);
+    let mut beside = files.beside;
+    let stored_departures = read_departures(&mut beside);
+    let known_departures = departures::aged(&stored_departures);
+    let (stored_sender, departures_stored) = unbounded();
+    let departure_writer = departures::Writer::spawn(beside, stored_departures, stored_sender);
     let mut effects = Vec::new();
     let detail = format!("role=control replica={replica} entries={}", files.stored.entries.len());
     journal::write(&log_events::Event::new(200, "started", &*daemon, detail));
@@ -154,13 +163,15 @@
     let zone = config.setup.zone.to_string();
     let protocol = config.protocol.clone();
     let now = clock::now();
-    let state =
+    let mut state =
         State::open(config.setup, protocol.clone(), identity, files.stored, now, &mut effects);
+    state.restore_departures(now, &known_departures);
     let shell = Rc::new(Shell {
         state: RefCell::new(state),
         protocol,
         links: RefCell::new(None),
         writer,
+        departure_writer,
         meter: Meter::open("control"),
         call_memory: Budget::open(MAX_CALL_BYTES),
         pending_answers: RefCell::default(),
@@ -182,7 +193,9 @@
     *shell.links.borrow_mut() = Some(links.clone());
     shell.carry_out(effects);
     executor.spawn(links.listen(link_listener)).detach();
-    executor.spawn(forward_synced(shell.clone(), synced)).detach();
+    executor.spawn(forward_synced(shell.clone(), synced, Event::Persisted)).detach();
+    let forward = forward_synced(shell.clone(), departures_stored, Event::DeparturesStored);
+    executor.spawn(forward).detach();
     executor.spawn(tick(shell.clone())).detach();
     executor.spawn(forward_seeds(shell.clone(), config.seed_changes)).detach();
     let control_shell = shell.clone();
@@ -200,13 +213,29 @@
     Ok(())
 }
 
-/// Reports to the reducer which writes are on disk.
-async fn forward_synced<Platform>(shell: Rc<Shell<Platform>>, synced: Receiver<u64>)
-where
+/// Reports to the reducer which writes are on disk, as the event that `make_event` returns.
+async fn forward_synced<Platform>(
+    shell: Rc<Shell<Platform>>,
+    synced: Receiver<u64>,
+    make_event: fn(u64) -> Event,
+) where
     Platform: Protocol,
 {
     while let Ok(sequence) = synced.recv().await {
-        shell.apply(Event::Persisted(sequence));
+        shell.apply(make_event(sequence));
+    }
+}
+
+/// Reads the departures that an earlier process has stored. A file that can't be read is as good as none: this
+/// daemon then knows what the others tell it.
+fn read_departures(folder: &mut Folder) -> Vec<StoredDeparture> {
+    match dotterelhoist_store::departures::read(folder) {
+        Ok(departures) => departures,
+        Err(error) => {
+            let detail = error.to_string();
+            journal::write(&log_events::Event::new(314, "departures not read", "disk", detail));
+            Vec::new()
+        }
     }
 }
 
@@ -257,6 +286,9 @@
                     }
                 }
                 Effect::Persist(sequence, write) => self.writer.write(sequence, write),
+                Effect::StoreDepartures(sequence, departures) => {
+                    self.departure_writer.write(sequence, departures);
+                }
                 Effect::Order(order) => {
                     self.meter.count("orders");
                     let shell = self.clone();
@@ -351,11 +383,12 @@
     async fn handle_call(self: &Rc<Self>, head: &RequestHead, body: Vec<u8>) -> Vec<u8> {
         let path = head.target.split('?').next().unwrap_or_default();
         match self.protocol.parse_call(&head.method, path) {
-            Some(Call::Heartbeat(id)) => self.handle_heartbeat(&id, &body),
+            Some(Call::Heartbeat(id)) => self.handle_heartbeat(&id, &body).await,
             Some(Call::Deregister(id)) => {
                 let started_unix_ms = self.protocol.decode_deregistration(&body);
-                self.apply(Event::Deregistered { id: id.as_str().into(), started_unix_ms });
-                response_bytes(200, "", self.protocol.heartbeat_reply())
+                let id: Name = id.as_str().into();
+                self.apply(Event::Deregistered { id: id.clone(), started_unix_ms });
+                self.answer_departure(id).await
             }
             Some(Call::PutDocument) => {
                 let answer =
@@ -371,10 +404,14 @@
     }
 
     /// Passes a heartbeat to the reducer, or logs and refuses it if it can't be decoded.
-    fn handle_heartbeat(self: &Rc<Self>, id: &str, body: &[u8]) -> Vec<u8> {
+    async fn handle_heartbeat(self: &Rc<Self>, id: &str, body: &[u8]) -> Vec<u8> {
         match self.protocol.decode_heartbeat(id, body) {
             Ok(heartbeat) => {
+                let leaves = heartbeat.draining;
                 self.apply(Event::Heartbeat(Box::new(heartbeat)));
+                if leaves {
+                    return self.answer_departure(id.into()).await;
+                }
                 response_bytes(200, "", self.protocol.heartbeat_reply())
             }
             Err(reason) => {
@@ -386,6 +423,18 @@
         }
     }
 
+    /// Response to an endpoint that has said that it leaves, once that is stored. Without that it had better tell
+    /// another daemon.
+    async fn answer_departure(self: &Rc<Self>, id: Name) -> Vec<u8> {
+        match self.request_answer(|ticket| Event::AwaitDeparture { ticket, id }).await {
+            Answer::Accepted => response_bytes(200, "", self.protocol.heartbeat_reply()),
+            _ => {
+                self.meter.count("departures.not_stored");
+                response_bytes(503, "", b"{}")
+            }
+        }
+    }
+
     /// Passes the event that `make_event` returns for a new ticket to the reducer and waits for the
     /// answer to this ticket; returns [`Answer::Unavailable`] after [`ANSWER_TIMEOUT`].
     async fn request_answer<MakeEvent>(self: &Rc<Self>, make_event: MakeEvent) -> Answer
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod settings;
 pub mod signals;
 
+mod departures;
 mod exchange;
 mod orders;
 mod response;
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -67,6 +67,27 @@
     fn damage_error(&self, file: &str, offset: usize, detail: &'static str) -> Error;
 }
 
+/// Replaces the content of a file atomically and syncs it. `new_file` is the name of the new content until it is
+/// complete.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub(crate) fn replace<Backend>(
+    disk: &mut Backend,
+    file: &str,
+    new_file: &str,
+    bytes: &[u8],
+) -> Result<(), Error>
+where
+    Backend: Disk,
+{
+    disk.create(new_file, bytes)?;
+    disk.sync(new_file)?;
+    disk.rename(new_file, file)?;
+    disk.sync_folder()
+}
+
 /// A folder of the file system, locked against other processes.
 #[derive(Debug)]
 pub struct Folder {
@@ -97,6 +118,17 @@
         Ok(Folder { path: path.to_owned(), append_handle: None, _lock: lock })
     }
 
+    /// A second handle of the folder, for other files than the first one writes. The folder stays locked until
+    /// both are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn try_clone(&self) -> Result<Folder, Error> {
+        let lock = self._lock.try_clone().map_err(|error| self.io_error(LOCK_FILE, error))?;
+        Ok(Folder { path: self.path.clone(), append_handle: None, _lock: lock })
+    }
+
     fn io_error(&self, file: &str, error: io::Error) -> Error {
         Error::Io { path: self.path.join(file), error }
     }
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -14,7 +14,7 @@
 use dotterelhoist_core::replica::message::Voter;
 use serde::{Deserialize, Serialize};
 
-use super::disk::Disk;
+use super::disk::{self, Disk};
 use super::Error;
 
 /// File that holds the identity, as JSON.
@@ -141,8 +141,5 @@
     Backend: Disk,
 {
     let bytes = serde_json::to_vec(identity).unwrap_or_default();
-    disk.create(IDENTITY_NEW_FILE, &bytes)?;
-    disk.sync(IDENTITY_NEW_FILE)?;
-    disk.rename(IDENTITY_NEW_FILE, IDENTITY_FILE)?;
-    disk.sync_folder()
+    disk::replace(disk, IDENTITY_FILE, IDENTITY_NEW_FILE, &bytes)
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
 use displaydoc::Display;
 use dotterelhoist_core::replica::{Stored, Write};
 
+pub mod departures;
 pub mod disk;
 pub mod identity;
 mod record;
@@ -102,10 +103,8 @@
             };
             self.wal.append(&mut self.disk, &batch)?;
             batch.clear();
-            self.disk.create(SNAPSHOT_NEW_FILE, &record::encode_snapshot(snapshot))?;
-            self.disk.sync(SNAPSHOT_NEW_FILE)?;
-            self.disk.rename(SNAPSHOT_NEW_FILE, SNAPSHOT_FILE)?;
-            self.disk.sync_folder()?;
+            let bytes = record::encode_snapshot(snapshot);
+            disk::replace(&mut self.disk, SNAPSHOT_FILE, SNAPSHOT_NEW_FILE, &bytes)?;
             self.wal.compact(&mut self.disk, snapshot)?;
         }
         self.wal.append(&mut self.disk, &batch)
@@ -133,6 +132,8 @@
     pub stored: Stored,
     /// As in [`identity::Opened::unstored`].
     pub unstored: Option<Error>,
+    /// Second handle of the folder, for [`departures`].
+    pub beside: Folder,
 }
 
 impl Files {
@@ -150,8 +151,9 @@
         let mut folder = Folder::open(path)?;
         let identity::Opened { identity, unstored } =
             identity::open(&mut folder, setup, random_number)?;
+        let beside = folder.try_clone()?;
         let (store, stored) = Store::open(folder)?;
         let stored = Stored { initial_voters: identity.initial_voters.clone(), ..stored };
-        Ok(Files { store, identity, stored, unstored })
+        Ok(Files { store, identity, stored, unstored, beside })
     }
 }
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -113,7 +113,7 @@
 
 /// Payload of the record at the start of `bytes`; `None` if it is incomplete or a checksum is
 /// wrong.
-fn valid_payload(bytes: &[u8]) -> Option<&[u8]> {
+pub(crate) fn valid_payload(bytes: &[u8]) -> Option<&[u8]> {
     let length = read_u32(bytes, 0)? as usize;
     let payload_checksum = read_u32(bytes, 4)?;
     let header_checksum = read_u32(bytes, 8)?;
--- a/crates/store/src/wal.rs
+++ b/crates/store/src/wal.rs
@@ -6,7 +6,7 @@
 use dotterelhoist_core::replica::{Stored, Write};
 use prost::Message;
 
-use super::disk::Disk;
+use super::disk::{self, Disk};
 use super::record::{self, Ballot, Batch, Parsed};
 use super::Error;
 
@@ -113,10 +113,8 @@
             ballot: Some(self.ballot.clone()),
             entries: self.entries.values().cloned().collect(),
         };
-        disk.create(WAL_NEW_FILE, &record::encode(&batch.encode_to_vec()))?;
-        disk.sync(WAL_NEW_FILE)?;
-        disk.rename(WAL_NEW_FILE, WAL_FILE)?;
-        disk.sync_folder()
+        let bytes = record::encode(&batch.encode_to_vec());
+        disk::replace(disk, WAL_FILE, WAL_NEW_FILE, &bytes)
     }
 
     /// Updates the copy in memory with a batch that has been synced to disk.
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -6,6 +6,7 @@
 
 use dotterelhoist_core::replica::message::{Entry, Snapshot, Voter};
 use dotterelhoist_core::replica::{Stored, Write};
+use dotterelhoist_store::departures::{self, Departure};
 use dotterelhoist_store::disk::{Disk, Folder};
 use dotterelhoist_store::identity::{self, Identity};
 use dotterelhoist_store::{Error, Store};
@@ -383,3 +384,57 @@
     assert_eq!(opened.identity.initial_voters, known);
     assert!(opened.unstored.is_some());
 }
+
+fn departure(number: u64) -> Departure {
+    Departure { id: format!("i-{number}"), started_unix_ms: number, left_unix_ms: 7 + number }
+}
+
+/// Guards against DRAIN: whatever a disk does during a write, the departures before it are kept.
+#[rstest]
+fn departures_are_replaced_or_kept(
+    #[values(0, 1, 2, 3, 4)] operations: usize,
+    #[values(0, 9, 4096)] kept_bytes: usize,
+) {
+    let disk = FaultyDisk::new(usize::MAX, kept_bytes);
+    let (first, second) = (vec![departure(1)], vec![departure(1), departure(2)]);
+    departures::write(&mut disk.clone(), &first).expect("power is on");
+    disk.contents.lock().expect("not poisoned").operations_left = operations;
+    let written = departures::write(&mut disk.clone(), &second);
+    assert_eq!(written.is_ok(), operations >= 4);
+    let found = departures::read(&mut disk.restart()).expect("no damage");
+    assert!(found == second || (written.is_err() && found == first), "{found:?}");
+}
+
+#[test]
+fn departures_beside_a_log_leave_it_as_it_is() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let disk = Folder::open(folder.path()).expect("a folder");
+    let mut beside = disk.try_clone().expect("a second handle");
+    let (mut store, _) = Store::open(disk).expect("an empty folder opens");
+    assert_eq!(departures::read(&mut beside).expect("no file"), Vec::new());
+    store.write(&[Write::Entries(vec![entry(1, 1)])]).expect("a healthy disk");
+    departures::write(&mut beside, &[departure(3)]).expect("a healthy disk");
+    store.write(&[Write::Entries(vec![entry(1, 2)])]).expect("a healthy disk");
+    drop(store);
+    Folder::open(folder.path()).expect_err("the second handle keeps the folder locked");
+    drop(beside);
+    let mut disk = Folder::open(folder.path()).expect("a folder");
+    assert_eq!(departures::read(&mut disk).expect("a file"), [departure(3)]);
+    let (_, stored) = Store::open(disk).expect("no damage");
+    assert_eq!(stored.entries, vec![entry(1, 1), entry(1, 2)]);
+}
+
+#[rstest]
+#[case::truncated(|bytes: &mut Vec<u8>| bytes.truncate(14))]
+#[case::changed(|bytes: &mut Vec<u8>| bytes[13] ^= 0x10)]
+fn departures_damaged_are_reported(#[case] damage: fn(&mut Vec<u8>)) {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let mut disk = Folder::open(folder.path()).expect("a folder");
+    departures::write(&mut disk, &[departure(1)]).expect("a healthy disk");
+    let path = folder.path().join("departures");
+    let mut bytes = std::fs::read(&path).expect("a file");
+    damage(&mut bytes);
+    std::fs::write(&path, bytes).expect("a healthy disk");
+    let error = departures::read(&mut disk).expect_err("damage is reported");
+    assert!(matches!(error, Error::Damaged { .. }), "{error}");
+}
--- a/tests/platform/departures.rs
+++ b/tests/platform/departures.rs
@@ -1,5 +1,7 @@
 //! Endpoints that leave while control daemons fail.
 
+use rstest::rstest;
+
 use super::daemon::Build;
 use super::deployment::{Deployment, CONTROL_DAEMONS};
 use super::RECOVERY_TIMEOUT;
@@ -15,14 +17,19 @@
     (0..BOOKINGS).filter(book).count()
 }
 
-/// Guards against DRAIN: control daemons that were all killed forgot what they had acknowledged, and took the endpoint's next heartbeat.
-#[test]
-fn departure_outlasts_all_control_daemons() {
+/// Guards against DRAIN: processes that were all killed forgot what they had acknowledged, and took the endpoint's next heartbeat.
+#[rstest]
+#[case::control_daemons(false)]
+#[case::and_the_entry_daemon(true)]
+fn departure_outlasts_all_processes(#[case] with_entry: bool) {
     let mut deployment = Deployment::start();
     assert_eq!(deployment.deregister("i-5"), Some(200));
     for index in 0..CONTROL_DAEMONS {
         deployment.kill_control_daemon(index);
     }
+    if with_entry {
+        deployment.replace_entry(Build::Present);
+    }
     for index in 0..CONTROL_DAEMONS {
         deployment.start_control_daemon(Build::Present, index);
     }
