--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -37,6 +37,8 @@
 mod floods;
 #[path = "platform/forwarding.rs"]
 mod forwarding;
+#[path = "platform/full_disks.rs"]
+mod full_disks;
 #[path = "platform/odd.rs"]
 mod odd;
 #[path = "platform/relays.rs"]
--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
 /// Ports, the same on each daemon's IP address. They lie below the system's ephemeral ports, so
 /// that no outgoing connection occupies one before its daemon listens on it.
@@ -77,6 +77,35 @@
         .expect("the daemon was built")
 }
 
+/// Like [`spawn`], for a daemon whose disk may become full ([`set_full`]), or is from the start. Its log is written
+/// by this process, so that it is complete.
+pub fn spawn_on_disk(build: Build, folder: &Path, settings: &Settings<'_>, full: bool) -> Child {
+    write_settings(folder, settings);
+    let limit = if full { "ulimit -S -f 0; " } else { "" };
+    let mut child = Command::new("sh")
+        .arg("-c")
+        .arg(format!(r#"trap "" XFSZ; {limit}exec "$0" platform"#))
+        .arg(build.program())
+        .env("DOTTERELHOIST_NODE_FILE", settings_path(folder, settings.ip))
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the daemon was built");
+    let path = log_path(folder, settings.ip);
+    let log = std::fs::File::options().create(true).append(true).open(path);
+    let mut log = log.expect("the temporary folder is writable");
+    let mut output = child.stdout.take().expect("it is piped");
+    std::thread::spawn(move || std::io::copy(&mut output, &mut log));
+    child
+}
+
+/// Makes the disk of a daemon refuse all writes, or accept them again.
+pub fn set_full(daemon: &Child, full: bool) {
+    let current = if full { Some(0) } else { None };
+    let pid = i32::try_from(daemon.id()).ok().and_then(Pid::from_raw);
+    let limit = Rlimit { current, maximum: None };
+    prlimit(pid, Resource::Fsize, limit).expect("the daemon runs");
+}
+
 /// Writes the settings file of a daemon, which may be running, to `folder`.
 pub fn write_settings(folder: &Path, settings: &Settings<'_>) {
     let Settings { ip, control, bootstrap, .. } = settings;
--- a/tests/platform/seeds.rs
+++ b/tests/platform/seeds.rs
@@ -3,6 +3,7 @@
 //! Three control daemons are started first, and three are added. Then the settings change, and the
 //! daemons read them when they are started again.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::Child;
 use std::thread::JoinHandle;
@@ -34,6 +35,8 @@
     folder: TempDir,
     ips: Vec<String>,
     daemons: Vec<Option<Child>>,
+    /// Daemons whose disks are full; none if disks can't become full.
+    full: Option<BTreeSet<usize>>,
     /// Highest version that was put.
     last_version: u64,
     /// Highest version that was acknowledged.
@@ -53,7 +56,95 @@
 
     /// Starts three control daemons of this build.
     pub fn start_first(build: Build) -> ControlPlane {
+        ControlPlane::start_three(build, None)
+    }
+
+    /// Starts three control daemons of this build, whose disks may become full, and adds three.
+    pub fn start_on_disks(build: Build) -> ControlPlane {
+        let mut plane = ControlPlane::start_three(build, Some(BTreeSet::new()));
+        plane.add(build);
+        plane
+    }
+
+    /// Makes the disk of a daemon refuse all writes, also of later processes, or accept them again.
+    pub fn set_full(&mut self, index: usize, is_full: bool) {
+        let full = self.full.as_mut().expect("the disks can become full");
+        match is_full {
+            true => full.insert(index),
+            false => full.remove(&index),
+        };
+        if let Some(daemon) = &self.daemons[index] {
+            daemon::set_full(daemon, is_full);
+        }
+    }
+
+    /// Waits until all daemons run, and starts those again that have ended by themselves, as the platform does.
+    pub fn revive(&mut self, seeds: &[usize]) {
+        for index in ALL {
+            let end = Instant::now() + SETTLE_TIMEOUT;
+            while self.has_ended(index) || !self.listens(index) {
+                assert!(Instant::now() < end, "daemon {index} does not start");
+                if self.has_ended(index) {
+                    self.daemons[index] = None;
+                    self.start_daemon(Build::Present, index, seeds, false);
+                }
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        }
+    }
+
+    fn has_ended(&mut self, index: usize) -> bool {
+        let child = self.daemons[index].as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    fn listens(&self, index: usize) -> bool {
+        std::net::TcpStream::connect(self.control_address(index)).is_ok()
+    }
+
+    /// Kills a daemon whose disk is full, and starts it; waits until it runs or has ended.
+    pub fn restart_on_full_disk(&mut self, index: usize, seeds: &[usize]) {
+        self.restart(Build::Present, &[index], seeds);
+        let end = Instant::now() + SETTLE_TIMEOUT;
+        while !self.has_ended(index) && !self.listens(index) {
+            assert!(Instant::now() < end, "daemon {index} neither runs nor ends");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Checks that each daemon has a newer document accepted, and that all return it.
+    pub fn check_each(&mut self) {
+        for index in self.running() {
+            self.last_version += 1;
+            let version = self.last_version;
+            let accepted =
+                self.poll(|plane| put(plane.control_address(index), version) == Some(true));
+            assert!(accepted, "version {version} was not accepted by daemon {index}");
+            self.acknowledged = version;
+            self.check_version();
+        }
+    }
+
+    /// Number of lines of a daemon's log with this text.
+    pub fn count_logged(&self, index: usize, text: &str) -> usize {
+        let log = daemon::read_log(self.folder.path(), &self.ips[index]);
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+
+    /// Whether the newest leader that the logs tell of is this daemon.
+    pub fn leads(&self, index: usize) -> bool {
+        let term = |index: &usize| {
+            let log = daemon::read_log(self.folder.path(), &self.ips[*index]);
+            let line = log.lines().rfind(|line| line.contains(r#""event":"leader elected""#));
+            let term = line.and_then(|line| line.rsplit_once("term=")).map(|(_, term)| term);
+            term.and_then(|term| term.trim_end_matches(['"', '}']).parse::<u64>().ok())
+        };
+        term(&index).is_some() && ALL.iter().all(|other| term(other) <= term(&index))
+    }
+
+    fn start_three(build: Build, full: Option<BTreeSet<usize>>) -> ControlPlane {
         let mut plane = ControlPlane {
+            full,
             folder: tempfile::tempdir().expect("a temporary folder can be created"),
             ips: unique_ips(ALL.len() as u64),
             daemons: ALL.iter().map(|_| None).collect(),
@@ -121,7 +212,11 @@
     pub fn start_daemon(&mut self, build: Build, index: usize, seeds: &[usize], bootstrap: bool) {
         let seeds = self.seeds(seeds);
         let settings = Settings { ip: &self.ips[index], control: true, seeds: &seeds, bootstrap };
-        self.daemons[index] = Some(daemon::spawn(build, self.folder.path(), &settings));
+        let folder = self.folder.path();
+        self.daemons[index] = Some(match &self.full {
+            None => daemon::spawn(build, folder, &settings),
+            Some(full) => daemon::spawn_on_disk(build, folder, &settings, full.contains(&index)),
+        });
     }
 
     /// Kills all of these daemons, and starts them with these seeds.
