Control log: what a process finds in it is synced before it counts (LOST)

An earlier process may have ended before it synced its last record. The next one took it for durable and acknowledged it; a loss of power then took it away.

Wal::open syncs a file that isn't empty. The new test fails in 2 of 8 cases without that and passes now.

--- a/crates/store/src/wal.rs
+++ b/crates/store/src/wal.rs
@@ -25,8 +25,8 @@
 }
 
 impl Wal {
-    /// Reads the file and truncates a torn record at its end. Returns the log, and the state that
-    /// results from the snapshot and the log.
+    /// Reads the file, truncates a torn record at its end and syncs the rest. Returns the log, and the state
+    /// that results from the snapshot and the log.
     pub(crate) fn open<Backend>(
         disk: &mut Backend,
         snapshot: Snapshot,
@@ -48,12 +48,15 @@
                 }
                 Parsed::Torn => {
                     disk.truncate(WAL_FILE, offset)?;
-                    disk.sync(WAL_FILE)?;
                     break;
                 }
                 Parsed::Damaged(detail) => return Err(disk.damage_error(WAL_FILE, offset, detail)),
             }
         }
+        if !bytes.is_empty() {
+            // An earlier process may have ended before it had synced what it wrote.
+            disk.sync(WAL_FILE)?;
+        }
         wal.remove_covered(&snapshot);
         let mut entries: Vec<Entry> = Vec::new();
         for (index, entry) in &wal.entries {
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -291,6 +291,27 @@
     assert_eq!(stored.entries, vec![entry(1, 1), entry(2, 2)]);
 }
 
+/// Guards against LOST: what a process had written and not synced counted as stored in the next one, which acknowledged it.
+#[rstest]
+fn store_keeps_what_it_found_when_it_was_opened_through_a_loss_of_power(
+    #[values(0, 1, 2, 3)] operations: usize,
+    #[values(false, true)] writes_before: bool,
+) {
+    let disk = FaultyDisk::new(usize::MAX, 0);
+    let (mut store, _) = Store::open(disk.clone()).expect("an empty disk opens");
+    if writes_before {
+        store.write(&[Write::Entries(vec![entry(1, 1)])]).expect("a healthy disk");
+    }
+    disk.contents.lock().expect("not poisoned").operations_left = operations;
+    let next = 1 + u64::from(writes_before);
+    store.write(&[Write::Entries(vec![entry(1, next)])]).ok();
+    // The process is killed; its files remain as they are.
+    disk.contents.lock().expect("not poisoned").operations_left = usize::MAX;
+    let (_, found) = Store::open(disk.clone()).expect("no damage");
+    let (_, kept) = Store::open(disk.restart()).expect("no damage");
+    assert_eq!(kept, found);
+}
+
 #[test]
 fn store_snapshot_of_a_diverged_log_removes_all_entries() {
     let disk = FaultyDisk::new(usize::MAX, 0);
