--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -18,7 +18,7 @@
 use crate::document::{Document, Finding};
 use crate::endpoint::Heartbeat;
 use crate::journal;
-use crate::message::{AgedHeartbeat, Body, Departure, Heartbeats, Hello, Replication};
+use crate::message::{AgedHeartbeat, Body, Departure, Directory, Heartbeats, Hello, Replication};
 use crate::order::{Order, Outcome};
 use crate::patch::Original;
 use crate::probe;
@@ -103,6 +103,8 @@
     /// The connection of this daemon to the named control daemon has come up, for the first time or
     /// again.
     Reached(Name),
+    /// The connection of this daemon to the named control daemon has ended.
+    Lost(Name),
     /// The settings name these control daemons now.
     SeedsChanged(Vec<Name>),
     /// A message of another daemon has arrived.
@@ -235,6 +237,8 @@
     limits: Limits,
     /// All other control daemons that this one knows of and connects to.
     control_daemons: BTreeSet<Name>,
+    /// Those of them to which a connection is up.
+    reached: BTreeSet<Name>,
     /// Voters of the log to which this daemon connects, as last logged.
     known_voters: Vec<Voter>,
     reachability: Reachability,
@@ -298,6 +302,7 @@
             endpoints: endpoints::Table::default(),
             storage: Storage::default(),
             control_daemons: BTreeSet::new(),
+            reached: BTreeSet::new(),
             known_voters: Vec::new(),
             reachability: Reachability::new(setup.zone.clone()),
             pending_writes: BTreeMap::new(),
@@ -332,7 +337,13 @@
                 }
             }
             Event::Disconnected(daemon) => self.distributor.remove_subscriber(&daemon),
-            Event::Reached(daemon) => self.send_departures(now, daemon, effects),
+            Event::Reached(daemon) => {
+                self.introduce(&daemon, effects);
+                self.send_departures(now, daemon, effects);
+            }
+            Event::Lost(daemon) => {
+                self.reached.remove(&daemon);
+            }
             Event::SeedsChanged(seeds) => self.add_control_daemons(&seeds, effects),
             Event::Received { from, body, random } => {
                 self.receive(now, from, body, random, effects)
@@ -614,6 +625,24 @@
         }
     }
 
+    /// Names the control daemons that this one reaches to one that it has just reached, and that one to them. Each
+    /// must connect to all others, voter or not: a heartbeat of an endpoint is forwarded by one daemon only.
+    fn introduce(&mut self, reached: &Name, effects: &mut Vec<Effect>) {
+        let directory = |names: &[Name]| {
+            let control_daemons = names.iter().map(ToString::to_string).collect();
+            Body::Directory(Directory { control_daemons })
+        };
+        self.reached.remove(reached);
+        let others: Vec<Name> = self.reached.iter().cloned().collect();
+        for other in &others {
+            effects.push(Effect::Send(other.clone(), directory(std::slice::from_ref(reached))));
+        }
+        if !others.is_empty() {
+            effects.push(Effect::Send(reached.clone(), directory(&others)));
+        }
+        self.reached.insert(reached.clone());
+    }
+
     /// Adds control daemons that the settings or another daemon name.
     fn add_control_daemons(&mut self, daemons: &[Name], effects: &mut Vec<Effect>) {
         for daemon in daemons {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -119,8 +119,9 @@
     pub neighbors: Vec<String>,
 }
 
-/// Control daemons that the sender reaches. An entry daemon answers with it to the [`Hello`] of another one,
-/// and tells it each control daemon to which its connection comes up.
+/// Control daemons that the sender reaches. An entry daemon answers with it to the [`Hello`] of another one.
+/// Entry and control daemons name with it the control daemons that they reach to each other, whenever a connection
+/// comes up.
 #[derive(Clone, PartialEq, Message)]
 pub struct Directory {
     /// Their IP addresses; the receiver connects to each of them.
--- a/crates/fleet/tests/control/cluster.rs
+++ b/crates/fleet/tests/control/cluster.rs
@@ -63,6 +63,8 @@
     codes: Vec<u16>,
     /// Connections that control daemons have asked for: who, and to whom.
     pub dialed: Vec<(Name, Name)>,
+    /// Control daemons that were named to control daemons: by whom, to whom, and which.
+    pub named: Vec<(Name, Name, Vec<String>)>,
     /// Whether the entry daemon of the first zone reports requests of callers.
     pub traffic: bool,
     /// Whether zone `y`, that of the second fabric domain, is partitioned from the control daemons.
@@ -134,6 +136,7 @@
             misreports: BTreeMap::new(),
             codes: Vec::new(),
             dialed: Vec::new(),
+            named: Vec::new(),
             order_delay: Box::new(|_, _| None),
             heartbeat_delay: Box::new(|_, _| Duration::ZERO),
             traffic: false,
@@ -493,6 +496,10 @@
                         let told = told.departures.iter();
                         self.departures_told.extend(told.map(|told| (to.clone(), told.clone())));
                     }
+                    if let Body::Directory(directory) = &body {
+                        let names = directory.control_daemons.clone();
+                        self.named.push((name.clone(), to.clone(), names));
+                    }
                     if let Body::Document(patch) = &body {
                         self.documents_sent.push((to.clone(), patch.clone()));
                     }
--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -102,6 +102,35 @@
     assert_eq!(cluster.dialed, [(own, "127.0.0.8".into())]);
 }
 
+/// Guards against CONFIG: control daemons without a vote never learned of each other, nor of endpoints that the other one knew.
+#[rstest]
+fn control_daemons_are_introduced_to_each_other_as_they_come(
+    #[values(&["8", "9"], &["9", "8"])] order: &[&str],
+    #[values(false, true)] first_is_lost: bool,
+) {
+    let mut cluster = serving_cluster(1);
+    let own = daemon_names()[0].clone();
+    for daemon in daemon_names() {
+        cluster.apply(&own, Event::Lost(daemon));
+    }
+    cluster.named.clear();
+    let (first, second): (Name, Name) = (order[0].into(), order[1].into());
+    cluster.apply(&own, Event::Reached(first.clone()));
+    assert_eq!(cluster.named, []);
+    if first_is_lost {
+        cluster.apply(&own, Event::Lost(first.clone()));
+    }
+    cluster.apply(&own, Event::Reached(second.clone()));
+    let expected = match first_is_lost {
+        true => vec![],
+        false => vec![
+            (own.clone(), first.clone(), vec![second.to_string()]),
+            (own, second, vec![first.to_string()]),
+        ],
+    };
+    assert_eq!(cluster.named, expected);
+}
+
 #[rstest]
 #[case::older("3")]
 #[case::same("7")]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -317,7 +317,7 @@
         }
     }
 
-    /// Passes link events to the reducer, except [`LinkEvent::OutgoingClosed`], which it does not need.
+    /// Passes link events to the reducer.
     fn handle_link_event(self: &Rc<Self>, event: LinkEvent) {
         match event {
             LinkEvent::IncomingOpened(hello) => self.apply(Event::Connected(hello)),
@@ -326,7 +326,7 @@
                 self.apply(Event::Received { from, body, random: clock::random_u64() });
             }
             LinkEvent::OutgoingOpened(daemon) => self.apply(Event::Reached(daemon)),
-            LinkEvent::OutgoingClosed(_) => {}
+            LinkEvent::OutgoingClosed(daemon) => self.apply(Event::Lost(daemon)),
         }
     }
 
