--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -494,7 +494,8 @@
             return Err(Reason::Crashing);
         }
         let Some(document) = self.document() else { return Err(Reason::Starting) };
-        if self.is_outdated(now) {
+        let is_resolved_by_other = request.resolved_by.is_some_and(|by| by != document.version);
+        if self.is_outdated(now) || is_resolved_by_other {
             return Err(Reason::Outdated);
         }
         let unless_behind =
--- a/crates/fleet/src/entry/relaying.rs
+++ b/crates/fleet/src/entry/relaying.rs
@@ -4,7 +4,9 @@
 //! other entry daemons still reach it. No one daemon's view counts as everyone's: as long as the
 //! control daemons list the endpoints, others may reach them. Requests then take one hop over a daemon
 //! that the control daemons name. It makes one attempt for each; retries, their budget and the demand
-//! are this daemon's. It never relays further.
+//! are this daemon's. It never relays further. It resolves the request anew, so it must have the document by which
+//! this daemon has: callers and endpoints see one daemon, which must not go back to an older document. One that has
+//! another refuses the request.
 
 use dotterelhoist_core::clock::Instant;
 
@@ -79,6 +81,7 @@
             workspace: None,
             deadline: active.deadline,
             number: active.attempts,
+            resolved_by: active.resolved_by,
         })
     }
 
--- a/crates/fleet/src/entry/request.rs
+++ b/crates/fleet/src/entry/request.rs
@@ -38,6 +38,9 @@
     pub deadline: Instant,
     /// Whether another entry daemon relays it to this one, because it reaches no endpoint.
     pub relayed: bool,
+    /// Version of the document by which the relaying daemon has resolved it; none if it has stated none, as one of
+    /// an older build.
+    pub resolved_by: Option<u64>,
 }
 
 impl Request {
@@ -65,6 +68,8 @@
     pub deadline: Instant,
     /// Number of this attempt, from 1; attempts that could not connect are not counted.
     pub number: u32,
+    /// Version of the document by which the route was found.
+    pub resolved_by: u64,
 }
 
 /// What the shell's task that serves a request does next.
--- a/crates/fleet/src/entry/serving.rs
+++ b/crates/fleet/src/entry/serving.rs
@@ -43,6 +43,8 @@
 pub(super) struct Active {
     pub(super) request: Request,
     pub(super) route: Arc<Route>,
+    /// Version of the document by which the route was found.
+    pub(super) resolved_by: u64,
     /// Workspace of its caller; none if it presented no valid key and needed none.
     workspace: Option<Arc<Workspace>>,
     pub(super) requirement: Requirement,
@@ -140,6 +142,7 @@
         let active = Active {
             requirement,
             route,
+            resolved_by: self.version(),
             workspace,
             deadline,
             attempts: 0,
@@ -257,6 +260,7 @@
             workspace: active.workspace.as_ref().map(|workspace| workspace.name.clone()),
             deadline: active.deadline,
             number: active.attempts,
+            resolved_by: active.resolved_by,
         };
         self.targets.record_send(target, active.request.prompt_tokens, now);
         Some(attempt)
--- a/crates/fleet/tests/deployment/network.rs
+++ b/crates/fleet/tests/deployment/network.rs
@@ -758,6 +758,7 @@
             segments: [COMMON_SEGMENT, segment].into_iter().collect(),
             deadline: self.now + CALLER_TIMEOUT,
             relayed: false,
+            resolved_by: None,
         }
     }
 
--- a/crates/fleet/tests/entry/main.rs
+++ b/crates/fleet/tests/entry/main.rs
@@ -336,6 +336,7 @@
         segments: Default::default(),
         deadline: now + Duration::from_secs(8),
         relayed: false,
+        resolved_by: None,
     }
 }
 
--- a/crates/fleet/tests/entry/relaying.rs
+++ b/crates/fleet/tests/entry/relaying.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use dotterelhoist_fleet::entry::{Attempt, Decision, End, Event, Loss, Reason};
+use dotterelhoist_fleet::entry::{Attempt, Decision, End, Event, Loss, Reason, Request};
 use dotterelhoist_fleet::message::{Body, Status};
 use rstest::rstest;
 
-use super::{request, Harness, LOST, SELECTED_CONTROL, TWO_GROUPS, TWO_PLAIN};
+use super::{document, request, Harness, LOST, SELECTED_CONTROL, TWO_GROUPS, TWO_PLAIN};
 
 const RELAYS: [&str; 2] = ["10.0.0.2", "10.0.0.3"];
 const FOUR_PLAIN: &[(&str, &str, &str, u32)] = &[
@@ -48,6 +48,41 @@
     harness.apply(Event::RequestArrived(Box::new(request)));
 }
 
+/// Guards against CONFIG: a relay handled requests by an older document than the daemon that had taken them.
+#[rstest]
+#[case::same(Some(1), None)]
+#[case::older_build(None, None)]
+#[case::sender_is_newer(Some(2), Some(Reason::Outdated))]
+#[case::sender_is_older(Some(0), Some(Reason::Outdated))]
+fn relayed_request_is_handled_by_the_document_of_its_sender_or_refused(
+    #[case] resolved_by: Option<u64>,
+    #[case] refused: Option<Reason>,
+    #[values("/read/x", "/nowhere/x")] path: &str,
+) {
+    let mut harness = Harness::open(TWO_PLAIN);
+    let request = Request { relayed: true, resolved_by, ..request(1, path, harness.now) };
+    harness.apply(Event::RequestArrived(Box::new(request)));
+    let reason = match harness.last_decision(1) {
+        Some(Decision::Refuse(refusal)) => Some(refusal.reason),
+        _ => None,
+    };
+    let by_route = (path == "/nowhere/x").then_some(Reason::NoRoute);
+    assert_eq!(reason, refused.or(by_route));
+}
+
+/// A request waits in the queue while a newer document arrives: the older one still decides it.
+#[test]
+fn relayed_request_names_the_document_by_which_it_was_resolved() {
+    let mut harness = harness(TWO_PLAIN);
+    harness.send(1, "/read/x");
+    harness.receive(document(2));
+    for _ in 0..2 {
+        harness.apply(Event::AttemptEnded(1, End::Unreachable));
+    }
+    let attempt = harness.attempt(1);
+    assert_eq!((attempt.relay, attempt.resolved_by), (true, 1));
+}
+
 #[rstest]
 #[case::stream("/stream/x", TWO_GROUPS)]
 #[case::booking("/book/x", TWO_PLAIN)]
--- a/crates/gateway/src/entry/callers.rs
+++ b/crates/gateway/src/entry/callers.rs
@@ -10,7 +10,7 @@
 use smol::Timer;
 
 use crate::clock;
-use crate::exchange::Incoming;
+use crate::exchange::{Incoming, RESOLVED_BY};
 use crate::http::{within, Connection, Error, RequestHead};
 use crate::protocol::Protocol;
 use crate::response::Response;
@@ -137,7 +137,11 @@
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let mut request = parse_request::<Platform>(id, &head, &body, started_at);
-        request.relayed = peer == Peer::EntryDaemon;
+        if peer == Peer::EntryDaemon {
+            request.relayed = true;
+            let resolved_by = head.headers.find(RESOLVED_BY);
+            request.resolved_by = resolved_by.and_then(|version| version.parse().ok());
+        }
         let keep_alive = head.keep_alive && !self.state.borrow().is_stopping();
         let incoming = Incoming { id, request_id: request.request_id.clone(), head, body };
         if self.refuses_requests.get() {
--- a/crates/gateway/src/entry/parsing.rs
+++ b/crates/gateway/src/entry/parsing.rs
@@ -65,6 +65,7 @@
         segments: parse_segments(header_text(names.prompt_segments)),
         deadline: parse_deadline(headers.find(names.deadline), DEFAULT_CALLER_TIMEOUT, now),
         relayed: false,
+        resolved_by: None,
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,6 +24,10 @@
 mod matching;
 mod stream;
 
+/// Header of a request between two entry daemons: version of the document by which the first one has found its
+/// route. It is not forwarded to endpoints.
+pub(crate) const RESOLVED_BY: &str = "x-resolved-by";
+
 /// Longest head of an endpoint's response; a longer one ends the attempt as [`End::Lost`].
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Longest body of a response that is read completely before it is forwarded; a longer one ends the
@@ -197,7 +201,8 @@
 {
     let names = Platform::HEADERS;
     let key = if attempt.relay { "" } else { "authorization" };
-    let removed_names = [names.deadline, names.expected_instance, names.workspace, key, "expect"];
+    let removed_names =
+        [names.deadline, names.expected_instance, names.workspace, key, "expect", RESOLVED_BY];
     let head = &incoming.head;
     let mut bytes = Vec::with_capacity(1024 + incoming.body.len());
     bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
@@ -217,7 +222,9 @@
     }
     let remaining_ms = attempt.deadline.since(clock::now()).as_millis();
     push_header(&mut bytes, names.deadline, remaining_ms.to_string().as_bytes());
-    if !attempt.relay {
+    if attempt.relay {
+        push_header(&mut bytes, RESOLVED_BY, attempt.resolved_by.to_string().as_bytes());
+    } else {
         push_header(&mut bytes, names.expected_instance, attempt.target.as_bytes());
     }
     if let Some(workspace) = &attempt.workspace {
