--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -18,7 +18,7 @@
 use crate::document::{Document, Finding};
 use crate::endpoint::Heartbeat;
 use crate::journal;
-use crate::message::{AgedHeartbeat, Body, Departure, Directory, Heartbeats, Hello, Replication};
+use crate::message::{AgedHeartbeat, Body, Departure, Heartbeats, Hello, Replication};
 use crate::order::{Order, Outcome};
 use crate::patch::Original;
 use crate::probe;
@@ -35,6 +35,7 @@
 
 mod applying;
 mod operators;
+mod peers;
 mod storing;
 
 use self::distribution::Distributor;
@@ -463,11 +464,7 @@
             }
             Body::Departures(departures) => self.record_departures(now, departures),
             Body::StoredDepartures(departures) => self.confirm_departures(&from, &departures),
-            Body::Directory(directory) => {
-                let names = directory.control_daemons.iter();
-                let names: Vec<Name> = names.map(|name| name.as_str().into()).collect();
-                self.add_control_daemons(&names, effects);
-            }
+            Body::Directory(directory) => self.apply_directory(&directory, effects),
             Body::Report(report) => {
                 for limit in &report.limits {
                     self.limits.record(now, limit, &self.endpoints);
@@ -624,39 +621,4 @@
             effects.push(Effect::Send(daemon.clone(), Body::Heartbeats(batch.clone())));
         }
     }
-
-    /// Names the control daemons that this one reaches to one that it has just reached, and that one to them. Each
-    /// must connect to all others, voter or not: a heartbeat of an endpoint is forwarded by one daemon only.
-    fn introduce(&mut self, reached: &Name, effects: &mut Vec<Effect>) {
-        let directory = |names: &[Name]| {
-            let control_daemons = names.iter().map(ToString::to_string).collect();
-            Body::Directory(Directory { control_daemons })
-        };
-        self.reached.remove(reached);
-        let others: Vec<Name> = self.reached.iter().cloned().collect();
-        for other in &others {
-            effects.push(Effect::Send(other.clone(), directory(std::slice::from_ref(reached))));
-        }
-        if !others.is_empty() {
-            effects.push(Effect::Send(reached.clone(), directory(&others)));
-        }
-        self.reached.insert(reached.clone());
-    }
-
-    /// Adds control daemons that the settings or another daemon name.
-    fn add_control_daemons(&mut self, daemons: &[Name], effects: &mut Vec<Effect>) {
-        for daemon in daemons {
-            self.add_control_daemon(daemon, effects);
-        }
-    }
-
-    /// Adds a control daemon, which may host a replica, and connects to it, unless it is this daemon
-    /// or already known.
-    fn add_control_daemon(&mut self, daemon: &Name, effects: &mut Vec<Effect>) {
-        if *daemon == self.setup.daemon || !self.control_daemons.insert(daemon.clone()) {
-            return;
-        }
-        self.replica.add_contact(daemon.clone());
-        effects.push(Effect::Dial(daemon.clone()));
-    }
 }
--- a/crates/fleet/src/control/planner/dissolving.rs
+++ b/crates/fleet/src/control/planner/dissolving.rs
@@ -86,7 +86,7 @@
     }
 
     /// Whether a head is known to respond to orders.
-    fn responds(&self, inputs: &Inputs<'_>, head: &Member) -> bool {
+    pub(super) fn responds(&self, inputs: &Inputs<'_>, head: &Member) -> bool {
         let progressed_at = inputs.progress.get(&*head.id).copied();
         inputs.endpoints.find(&head.id).is_some_and(|endpoint| {
             let silent_for = inputs.now.since(endpoint.last_seen);
--- a/crates/fleet/src/control/planner/sealing.rs
+++ b/crates/fleet/src/control/planner/sealing.rs
@@ -24,6 +24,8 @@
 
 /// Time between two questions to a head that is to be sealed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+/// The same for a head that is not known to respond.
+const SILENT_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Age of a report up to which a head is ordered to join a later generation.
 const REPORT_TTL: Duration = Duration::from_millis(200);
 /// Time after which what is known of a head that nobody asks about any more is forgotten.
@@ -142,9 +144,13 @@
         }
         let id: Name = head.id.as_str().into();
         let address: Name = endpoint.heartbeat.address.as_str().into();
+        let interval = match self.responds(inputs, head) {
+            true => REPORT_INTERVAL,
+            false => SILENT_REPORT_INTERVAL,
+        };
         let sealing = self.sealing_of(now, head);
         let Some(report) = sealing.report.take() else {
-            if sealing.asked_at.is_none_or(|at| now.since(at) >= REPORT_INTERVAL) {
+            if sealing.asked_at.is_none_or(|at| now.since(at) >= interval) {
                 sealing.asked_at = Some(now);
                 effects.push(Effect::Probe { id, address });
             }
--- a/crates/fleet/src/entry/neighbors.rs
+++ b/crates/fleet/src/entry/neighbors.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Records the neighbors that a status names, if it names any.
+    /// Records the neighbors that a status of the selected control daemon names, if it names any.
     pub(super) fn record_neighbors(
         &mut self,
         from: &Name,
@@ -63,7 +63,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let names: Vec<Name> = status.neighbors.iter().map(|name| name.as_str().into()).collect();
-        if names.is_empty() || names == self.neighbors.names {
+        let is_selected = self.selected.as_ref() == Some(from);
+        if !is_selected || names.is_empty() || names == self.neighbors.names {
             return;
         }
         let detail = format!("neighbors={}", names.join(","));
